--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,10 @@
+//! pinetrestle: the decision core of a front node for a sharded search service.
+//!
+//! The crate does no I/O and reads no clock. A host feeds [`FrontNode`] batches of
+//! [`interface::Event`] together with the time and carries out the [`interface::Action`]s it gets.
+#![forbid(unsafe_code)]
+
+pub mod interface;
+mod logic;
+
+pub use logic::FrontNode;
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,837 @@
+//! Interface: src/interface.rs (settings, events, actions).
+//!
+//! Every decision of the front node is in this file. Order: tuned values, state, absorbing a batch of
+//! events, judging replicas, admission, one query's life, the gates, sending, ending.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+// Tuned values. None comes from a deployment; each is a ratio, or a span against which ratios settle.
+const SWEEP: Micros = Micros(20_000); // how often open queries are looked at when nothing happens
+const HALF_LIFE: Micros = Micros(10_000_000); // of the counters of parts, extras, copies, tenants' queries
+const EXTRA_SHARE: f64 = 0.1; // extras stay under this share of our parts (design page)
+const COPY_SHARE: f64 = 0.15; // further attempts stay under this share of our parts ...
+const COPY_FLOOR: f64 = 6.0; // ... plus so many, so that a storm of copies cannot start
+const RING: usize = 64; // latencies kept for each class and step
+const LEAST_SAMPLES: usize = 8; // fewer say nothing
+const LATE_RATIO: f64 = 2.5; // an attempt is never overdue before this multiple of the typical latency
+const SLOW_FROM: f64 = 2.0; // a replica this much slower than its peers counts for more
+const CONDEMNED: f64 = 4.0; // and from here on it is a last choice and logged
+const PACE_CAP: f64 = 40.0; // no observation makes a replica look slower than this
+const PACE_GAIN: f64 = 0.2; // weight of one answer in a replica's pace
+const PACE_HALF: Micros = Micros(4_000_000); // a pace without news falls halfway back to 1 in this time
+const GHOST: Micros = Micros(1_500_000); // a failed attempt keeps counting this long
+const COLD_MARGIN: f64 = 0.7; // part of our share of a cold replica's budget that we use
+const LEVEL_EVERY: Micros = Micros(200_000); // how often the shedding level moves
+const STRAIN_AIM: f64 = 0.6; // predicted time over aim that admission holds
+const STRAIN_WINDOW: Micros = Micros(3_000_000); // latencies older than this don't speak of strain
+const MOST_SHED: f64 = 0.9; // some queries always go through, or nobody sees the end of a surge
+const EPS: f64 = 0.0001; // sums of weights may come up this short
+
+/// One attempt of a part, as its query remembers it.
+struct Attempt {
+    replica: ReplicaId,
+    sent: Micros,
+    open: bool,
+    never_ran: bool,
+}
+
+struct Part {
+    id: Id,
+    shard: u32,
+    weight: f64,
+    step: u8,
+    done: bool,
+    attempts: Vec<Attempt>,
+}
+
+struct Query {
+    id: Id,
+    class: usize,
+    tenant: Option<usize>,
+    aim_at: Micros,
+    end_at: Micros,
+    admitted: bool,
+    extra_asked: bool,
+    step: u8,
+    parts: Vec<Part>,
+}
+
+/// An attempt that is out, as its replica remembers it; outlives the query.
+struct Flight {
+    replica: ReplicaId,
+    sent: Micros,
+    call: u64,
+    slot: usize,
+    cancelled: bool,
+}
+
+struct Replica {
+    cell: u32,
+    size: f64,
+    lifecycle: Lifecycle,
+    started: Option<Micros>,
+    out: u32,                        // our parts out: calls, where parts share a call
+    ghosts: Vec<Micros>,             // until when attempts that failed keep counting
+    pace: f64,                       // recent latency over the typical one
+    pace_at: Micros,                 // when that was last heard of
+    last_ok: Micros,                 // when it last answered anything
+    factor: f64,                     // pace against its peers, 1 unless far slower
+    condemned: bool,                 // as last logged
+    call: (u64, u64, u32),           // round, number and parts of the call being put together
+    recent: VecDeque<(Micros, f64)>, // work sent in the last `fall`
+    last_sent: Option<Micros>,
+}
+
+/// Latencies of one class and step.
+#[derive(Default)]
+struct Slot {
+    ring: VecDeque<(Micros, Micros)>, // when, how long
+    typical: Option<Micros>,
+    late: Option<Micros>,
+    recent: Option<Micros>, // an upper quantile of the last moments
+    work: Option<Micros>,   // what a part costs a replica that is not crowded
+}
+
+/// A count in which the past fades.
+#[derive(Clone, Copy, Default)]
+struct Fading(f64, Micros);
+
+impl Fading {
+    fn read(&self, now: Micros) -> f64 {
+        self.0 * fade(now - self.1, HALF_LIFE)
+    }
+    fn add(&mut self, now: Micros) {
+        *self = Fading(self.read(now) + 1.0, now);
+    }
+}
+
+fn fade(age: Micros, half: Micros) -> f64 {
+    0.5_f64.powf(age.over(half).max(0.0))
+}
+
+/// Scatters a number evenly over 0 to 1.
+fn mix(seed: u64) -> f64 {
+    let mut z = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+fn quantile(sorted: &[Micros], share: f64) -> Option<Micros> {
+    let last = sorted.len().checked_sub(1)?;
+    (sorted.len() >= LEAST_SAMPLES).then(|| sorted[(last as f64 * share) as usize])
+}
+
+/// The decisions of one front node.
+pub struct FrontNode {
+    set: Settings,
+    rng: u64,
+    now: Micros,
+    born: Micros,
+    round: u64,
+    next_call: u64,
+    replicas: BTreeMap<ReplicaId, Replica>,
+    cells: Vec<Vec<ReplicaId>>,
+    queries: BTreeMap<u64, Query>,
+    numbers: BTreeMap<Id, u64>,        // query to its number
+    parts: BTreeMap<Id, (u64, usize)>, // part to its query's number and its place there
+    flights: BTreeMap<(Id, u32), Flight>,
+    calls: BTreeMap<u64, u32>, // call to its parts still out
+    slots: Vec<Slot>,          // by class and step
+    longest_try: Vec<Micros>,  // by class: the longest time a try was given
+    taken: VecDeque<Micros>,   // queries and parts taken, for the retry budget
+    further: VecDeque<Micros>, // further attempts, for the retry budget
+    sent: Fading,
+    extras: Fading,
+    copies: Fading,
+    tenants: Vec<Fading>,
+    densities: VecDeque<f64>, // worth for work of the latest queries
+    level: f64,               // share of the least worthy queries that is declined
+    level_at: Micros,
+    asked: Option<Micros>, // when the watch was asked for, if it was
+    ask_at: Micros,
+    ask_wait: Micros,
+    wake_at: Option<Micros>,
+}
+
+impl FrontNode {
+    /// A front node that knows nothing but its settings.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> FrontNode {
+        let classes = settings.classes.len();
+        let mut node = FrontNode {
+            rng: seed,
+            now,
+            born: now,
+            round: 0,
+            next_call: 0,
+            replicas: BTreeMap::new(),
+            cells: vec![Vec::new(); settings.cells.max(1) as usize],
+            queries: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            slots: (0..classes * 2).map(|_| Slot::default()).collect(),
+            longest_try: vec![Micros(0); classes],
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            sent: Fading::default(),
+            extras: Fading::default(),
+            copies: Fading::default(),
+            tenants: vec![Fading::default(); settings.tenants.len()],
+            densities: VecDeque::new(),
+            level: 0.0,
+            level_at: now,
+            asked: None,
+            ask_at: now,
+            ask_wait: SWEEP.times(10.0),
+            wake_at: None,
+            set: settings,
+        };
+        // Front nodes often restart together; the list service should not meet them all at once.
+        let spread = Micros(50_000).times(node.set.fleet_size as f64);
+        node.ask_at = now + spread.min(node.set.rules.ask_within.times(0.25)).times(node.random());
+        node
+    }
+
+    /// Takes in a whole batch of events, then decides once.
+    pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
+        self.now = now;
+        self.round += 1;
+        for event in events {
+            self.absorb(event, actions);
+        }
+        self.judge(actions);
+        self.watch_list(actions);
+        let open: Vec<u64> = self.queries.keys().copied().collect();
+        for number in open {
+            if let Some(query) = self.queries.remove(&number) {
+                if let Some(query) = self.advance(query, actions) {
+                    self.queries.insert(number, query);
+                }
+            }
+        }
+        let waiting = self.set.must_ask && self.asked.is_none();
+        if (waiting || !self.queries.is_empty()) && self.wake_at.is_none() {
+            self.wake_at = Some(now + SWEEP);
+            actions.push(Action::Timer(SWEEP));
+        }
+    }
+
+    fn random(&mut self) -> f64 {
+        self.rng = self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.rng)
+    }
+
+    // ---- absorbing events ----
+
+    fn absorb(&mut self, event: &Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::List { replicas, stored } => {
+                let named: Vec<ReplicaId> = replicas.iter().map(|line| line.replica).collect();
+                for (id, replica) in self.replicas.iter_mut() {
+                    if !named.contains(id) {
+                        replica.lifecycle = Lifecycle::Gone;
+                    }
+                }
+                self.take_lines(replicas, !*stored, actions);
+            }
+            Event::ListChanges(lines) => self.take_lines(lines, true, actions),
+            Event::ListFailed => {
+                // The wait doubles and is drawn at random, so that a crowd of front nodes thins out.
+                self.asked = None;
+                self.ask_at = self.now + self.ask_wait.times(0.5 + self.random());
+                self.ask_wait = self.ask_wait.times(2.0).min(self.set.rules.ask_within.times(0.25));
+                actions.push(Action::Remark("list lost, asking again".into()));
+            }
+            Event::Query { id, number, class, tenant, expires_in, hint, parts: _, repeat: _ } => {
+                self.taken.push_back(self.now);
+                let Some(settings) = self.set.classes.get(*class) else {
+                    actions.push(Action::Refuse { query: *id, retry_after: None }); // nothing of it ran
+                    return;
+                };
+                // A try shorter than the longest seen was cut by the client's deadline: that tells how
+                // long the client has waited already. Otherwise it is taken for a first try.
+                let longest = self.longest_try[*class].max(*expires_in);
+                self.longest_try[*class] = longest;
+                let cut = expires_in.over(longest) < 0.99;
+                let waited = if cut { settings.deadline - *expires_in } else { Micros(0) };
+                let stretch = hint.unwrap_or_default().times(settings.aim_stretch);
+                let aim = (settings.aim + stretch).min(settings.deadline) - waited;
+                let query = Query {
+                    id: *id,
+                    class: *class,
+                    tenant: *tenant,
+                    aim_at: self.now + aim,
+                    end_at: self.now + *expires_in,
+                    admitted: false,
+                    extra_asked: false,
+                    step: 1,
+                    parts: Vec::new(),
+                };
+                // The final answer has a timer of its own, whatever else waits.
+                let left = self.stop_at(&query) - self.now;
+                actions.push(Action::Timer(left.max(Micros(0))));
+                self.numbers.insert(*id, *number);
+                self.queries.insert(*number, query);
+            }
+            Event::Part { id, number, shard, weight, hint: _ } => {
+                self.taken.push_back(self.now);
+                if let Some(query) = self.queries.get_mut(number) {
+                    self.parts.insert(*id, (*number, query.parts.len()));
+                    let (shard, weight, step) = (*shard, *weight, query.step);
+                    query.parts.push(Part {
+                        id: *id,
+                        shard,
+                        weight,
+                        step,
+                        done: false,
+                        attempts: Vec::new(),
+                    });
+                }
+            }
+            Event::AttemptEnded { part, attempt, outcome, took } => {
+                self.attempt_ended(*part, *attempt, *outcome, *took);
+            }
+            Event::ClientGone(id) => {
+                let query = self.numbers.get(id).and_then(|number| self.queries.remove(number));
+                if let Some(query) = query {
+                    self.forget(&query, actions);
+                }
+            }
+            Event::Timer => {
+                if self.wake_at.is_some_and(|at| at <= self.now) {
+                    self.wake_at = None;
+                }
+            }
+            Event::Probed => {}
+        }
+    }
+
+    fn take_lines(&mut self, lines: &[Listed], news: bool, actions: &mut Vec<Action>) {
+        if news {
+            if self.ask_wait > SWEEP.times(10.0) {
+                actions.push(Action::Remark("list regained".into()));
+            }
+            self.ask_wait = SWEEP.times(10.0);
+        }
+        for line in lines {
+            let now = self.now;
+            let replica = self.replicas.entry(line.replica).or_insert_with(|| Replica {
+                cell: line.cell,
+                size: line.size,
+                lifecycle: line.lifecycle,
+                started: line.started,
+                out: 0,
+                ghosts: Vec::new(),
+                pace: 1.0,
+                pace_at: now,
+                last_ok: Micros(i64::MIN / 2),
+                factor: 1.0,
+                condemned: false,
+                call: (0, 0, 0),
+                recent: VecDeque::new(),
+                last_sent: None,
+            });
+            if line.started.is_some() && line.started != replica.started {
+                // A new process: what its predecessor did says nothing of it.
+                replica.pace = 1.0;
+                replica.ghosts.clear();
+                replica.last_ok = now;
+                replica.started = line.started;
+            }
+            (replica.cell, replica.size, replica.lifecycle) = (line.cell, line.size, line.lifecycle);
+        }
+        self.cells = vec![Vec::new(); self.set.cells.max(1) as usize];
+        let cells = self.cells.len();
+        for (id, replica) in &self.replicas {
+            self.cells[replica.cell as usize % cells].push(*id);
+        }
+    }
+
+    fn attempt_ended(&mut self, part: Id, attempt: u32, outcome: Outcome, took: Micros) {
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        if let Some(flight) = self.flights.remove(&(part, attempt)) {
+            let overdue = self.overdue(&flight);
+            let left = self.calls.get_mut(&flight.call);
+            let call_over = left.is_none_or(|left| {
+                *left -= 1;
+                *left == 0
+            });
+            if call_over {
+                self.calls.remove(&flight.call);
+            }
+            let typical = self.typical(flight.slot);
+            if let Some(replica) = self.replicas.get_mut(&flight.replica) {
+                replica.out -= u32::from(call_over);
+                let seen = took.over(typical).min(PACE_CAP);
+                let pace = 1.0 + (replica.pace - 1.0) * fade(self.now - replica.pace_at, PACE_HALF);
+                match outcome {
+                    Outcome::Ok => {
+                        replica.pace = pace + PACE_GAIN * (seen - pace);
+                        replica.pace_at = self.now;
+                        replica.last_ok = self.now;
+                    }
+                    Outcome::Moot => {}
+                    Outcome::Cancelled if !overdue => {}
+                    // Failing fast, swallowing parts or refusing them must not make a replica look idle:
+                    // the attempt keeps counting for a while, and a long wait is held against its pace.
+                    // Also covers a server that fails one class only. Hurts where errors are harmless.
+                    _ => {
+                        replica.ghosts.push(self.now + GHOST);
+                        replica.pace = pace.max(seen);
+                        replica.pace_at = self.now;
+                    }
+                }
+            }
+            let slot = &mut self.slots[flight.slot];
+            if outcome == Outcome::Ok {
+                slot.ring.push_back((self.now, took));
+            }
+            if slot.ring.len() > RING {
+                slot.ring.pop_front();
+            }
+        }
+        let place = self.parts.get(&part).copied();
+        let Some((query, index)) = place.and_then(|(n, i)| Some((self.queries.get_mut(&n)?, i))) else {
+            return;
+        };
+        let part = &mut query.parts[index];
+        if let Some(known) = part.attempts.get_mut(attempt as usize) {
+            known.open = false;
+            known.never_ran = never_ran;
+            part.done |= outcome == Outcome::Ok;
+        }
+    }
+
+    // ---- judging replicas ----
+
+    fn typical(&self, slot: usize) -> Micros {
+        let own = self.slots[slot].typical;
+        let any = || self.slots.iter().find_map(|slot| slot.typical);
+        own.or_else(any).unwrap_or(self.set.classes[slot / 2].aim.times(0.125))
+    }
+
+    fn overdue_after(&self, slot: usize) -> Micros {
+        let least = self.typical(slot).times(LATE_RATIO);
+        self.slots[slot].late.map_or(least, |late| least.max(late.times(1.1)))
+    }
+
+    /// Overdue: out for longer than nearly all attempts of late, wherever they went, so that a slowdown
+    /// of everything moves the bound along; sooner where the replica stands condemned or is gone.
+    fn overdue(&self, flight: &Flight) -> bool {
+        let Some(replica) = self.replicas.get(&flight.replica) else { return true };
+        let restarted = replica.started.is_some_and(|at| at > flight.sent);
+        let age = self.now - flight.sent;
+        let soon = replica.factor >= CONDEMNED && age > self.typical(flight.slot);
+        restarted || replica.lifecycle == Lifecycle::Gone || soon || age > self.overdue_after(flight.slot)
+    }
+
+    /// Sets each replica's factor: its pace against the median of all. Guards against servers that are
+    /// slow, hang, stall or fall silent: the longer the oldest attempt waits with no answer to anything,
+    /// the more the replica counts for. Everything slow at once moves the median and condemns nobody.
+    fn judge(&mut self, actions: &mut Vec<Action>) {
+        let now = self.now;
+        for slot in &mut self.slots {
+            let mut all: Vec<Micros> = slot.ring.iter().map(|(_, took)| *took).collect();
+            all.sort();
+            slot.typical = quantile(&all, 0.5);
+            slot.late = quantile(&all, 0.95);
+            slot.work = quantile(&all, 0.25);
+            let fresh = slot.ring.iter().filter(|(at, _)| now - *at < STRAIN_WINDOW);
+            let mut fresh: Vec<Micros> = fresh.map(|(_, took)| *took).collect();
+            fresh.sort();
+            slot.recent = quantile(&fresh, 0.8);
+        }
+        let mut paces: BTreeMap<ReplicaId, f64> = BTreeMap::new();
+        for (id, replica) in self.replicas.iter_mut().filter(|(_, r)| r.lifecycle == Lifecycle::On) {
+            replica.ghosts.retain(|until| *until > now);
+            paces.insert(*id, 1.0 + (replica.pace - 1.0) * fade(now - replica.pace_at, PACE_HALF));
+        }
+        for flight in self.flights.values().filter(|flight| !flight.cancelled) {
+            let Some(replica) = self.replicas.get(&flight.replica) else { continue };
+            let silence = now - flight.sent.max(replica.last_ok);
+            if silence > self.overdue_after(flight.slot) {
+                if let Some(pace) = paces.get_mut(&flight.replica) {
+                    *pace = pace.max(silence.over(self.typical(flight.slot)).min(PACE_CAP));
+                }
+            }
+        }
+        let mut sorted: Vec<f64> = paces.values().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        let median = sorted.get(sorted.len() / 2).copied().unwrap_or(1.0).max(1.0);
+        for (id, pace) in paces {
+            let Some(replica) = self.replicas.get_mut(&id) else { continue };
+            let ratio = pace / median;
+            replica.factor = if ratio < SLOW_FROM { 1.0 } else { ratio };
+            if replica.condemned != (ratio >= if replica.condemned { SLOW_FROM } else { CONDEMNED }) {
+                replica.condemned = !replica.condemned;
+                let word = if replica.condemned { "condemned" } else { "readmitted" };
+                actions.push(Action::Remark(format!("replica {id} {word}, pace {ratio:.1} of its peers")));
+            }
+        }
+    }
+
+    fn watch_list(&mut self, actions: &mut Vec<Action>) {
+        if !self.set.must_ask || self.now < self.ask_at || self.asked.is_some() {
+            return;
+        }
+        self.asked = Some(self.now);
+        actions.push(Action::WatchList);
+    }
+
+    // ---- admission ----
+
+    /// Declines the least worthy share of queries while the work in hand can't be served in time.
+    /// Strain is the time that a query's steps take of late against its aim. Answers any surge, lost
+    /// capacity or slowdown of everything; hurts when a few slow parts make up the upper quantile.
+    fn move_level(&mut self, actions: &mut Vec<Action>) {
+        if self.now - self.level_at < LEVEL_EVERY {
+            return;
+        }
+        self.level_at = self.now;
+        let mut strain: f64 = 0.0;
+        for (class, settings) in self.set.classes.iter().enumerate() {
+            let first = self.slots[class * 2].recent.unwrap_or_default();
+            let second = self.slots[class * 2 + 1].recent.unwrap_or_default();
+            strain = strain.max((first + second).over(settings.aim));
+        }
+        let before = self.level;
+        let step = (0.3 * (strain - STRAIN_AIM)).clamp(-0.05, 0.1);
+        self.level = (self.level + step).clamp(0.0, MOST_SHED);
+        if (before > 0.0) != (self.level > 0.0) {
+            let word = if self.level > 0.0 { "begun" } else { "ended" };
+            actions.push(Action::Remark(format!("shedding {word}, strain {strain:.2}")));
+        }
+    }
+
+    /// What the query earns for each part it needs, as things stand.
+    fn density(&mut self, query: &Query) -> f64 {
+        let class = &self.set.classes[query.class];
+        let late = query.aim_at <= self.now;
+        let mut worth = class.worth * if late { class.late_worth } else { 1.0 };
+        if let Some(tenant) = query.tenant {
+            let counter = &mut self.tenants[tenant];
+            counter.add(self.now);
+            let rate = counter.read(self.now) * std::f64::consts::LN_2 / HALF_LIFE.over(Micros(1_000_000));
+            let quota = self.set.tenants[tenant].quota_per_s / f64::from(self.set.fleet_size.max(1));
+            if rate > quota * 1.3 {
+                worth *= self.set.over_quota_worth;
+            }
+        }
+        worth / (query.parts.len().max(1) as f64 * class.need * self.typical(query.class * 2).0 as f64)
+    }
+
+    fn admit(&mut self, query: &Query) -> bool {
+        // A little chance is mixed in, so that classes of like worth are declined alike.
+        let density = self.density(query) * (0.5 + self.random());
+        let below = self.densities.iter().filter(|other| **other < density).count();
+        let rank = below as f64 / self.densities.len().max(1) as f64;
+        self.densities.push_back(density);
+        if self.densities.len() > RING {
+            self.densities.pop_front();
+        }
+        let class = &self.set.classes[query.class];
+        let worthless = density <= 0.0;
+        // A query whose shards are down by the list's own word can't be answered; with no list it waits.
+        let listed = self.replicas.values().any(|replica| replica.lifecycle == Lifecycle::On);
+        let up =
+            |part: &&Part| self.holders(part.shard).any(|id| self.replicas[&id].lifecycle == Lifecycle::On);
+        let reach: f64 = query.parts.iter().filter(up).map(|part| part.weight).sum();
+        !worthless && rank >= self.level && (!listed || reach > class.floor - EPS)
+    }
+
+    // ---- one query's life ----
+
+    /// When the query is given up: at the aim if nothing is earned after it, else at the client's end.
+    fn stop_at(&self, query: &Query) -> Micros {
+        let margin = self.set.tick.times(2.0);
+        let late = self.set.classes[query.class].late_worth > 0.0;
+        (if late { query.end_at } else { query.end_at.min(query.aim_at) }) - margin
+    }
+
+    fn advance(&mut self, mut query: Query, actions: &mut Vec<Action>) -> Option<Query> {
+        if !query.admitted {
+            self.move_level(actions);
+            if !self.admit(&query) {
+                self.give_up(&query, actions);
+                return None;
+            }
+            query.admitted = true;
+        }
+        let class = &self.set.classes[query.class];
+        let need = if query.step == 1 { class.need } else { 1.0 };
+        let mine = query.parts.iter().filter(|part| part.step == query.step);
+        let landed: f64 = mine.clone().filter(|part| part.done).map(|part| part.weight).sum();
+        let all_in = mine.clone().count() > 0 && mine.clone().all(|part| part.done);
+        if landed > need - EPS && (need < 1.0 || all_in) {
+            actions.push(Action::Answer { query: query.id, whole: true });
+            if query.step == 1 && class.second_step > 0 {
+                self.cancel_open(&query, false, actions);
+                query.step = 2; // its parts come with the next batch
+                return Some(query);
+            }
+            self.forget(&query, actions);
+            return None;
+        }
+        if self.now >= self.stop_at(&query) {
+            self.give_up(&query, actions);
+            return None;
+        }
+        self.cancel_open(&query, true, actions);
+        self.dispatch(&mut query, need, actions);
+        Some(query)
+    }
+
+    /// Sends what the query lacks: parts not sent yet first, lowest score first; then parts whose attempts
+    /// have all failed; then copies of overdue ones. So an overdue part of an n-of-k class is answered by
+    /// an unsent part before a copy. Then, where any n parts do, one extra while extras are few.
+    fn dispatch(&mut self, query: &mut Query, need: f64, actions: &mut Vec<Action>) {
+        loop {
+            let mut live = 0.0;
+            let mut best: Option<(u8, f64, f64, usize, ReplicaId)> = None;
+            for (index, part) in query.parts.iter().enumerate() {
+                if part.step != query.step {
+                    continue;
+                }
+                let open = (0..).zip(&part.attempts).filter(|(_, attempt)| attempt.open);
+                let flights = || open.clone().filter_map(|(n, _)| self.flights.get(&(part.id, n)));
+                if part.done || flights().any(|flight| !self.overdue(flight)) {
+                    live += part.weight;
+                    continue;
+                }
+                let kind =
+                    if part.attempts.is_empty() { 0 } else { 1 + u8::from(flights().next().is_some()) };
+                let choice = self.choose(query, part);
+                if let Some((replica, score, tie)) = choice {
+                    let mine = (kind, score, tie, index, replica);
+                    if best.is_none_or(|best| (mine.0, mine.1, mine.2) < (best.0, best.1, best.2)) {
+                        best = Some(mine);
+                    }
+                }
+            }
+            let Some((_, _, _, index, replica)) = best.filter(|_| live < need - EPS) else { break };
+            self.send(query, index, replica, actions);
+        }
+        if !query.extra_asked && query.step == 1 && need < 1.0 {
+            query.extra_asked = true;
+            // In a surge extras would be served before their cancellation arrives: none while shedding.
+            let few = self.extras.read(self.now) + 1.0 <= EXTRA_SHARE * self.sent.read(self.now);
+            let unsent = query.parts.iter().enumerate().filter(|(_, part)| part.attempts.is_empty());
+            let choices = unsent.filter_map(|(index, part)| Some((index, self.choose(query, part)?)));
+            let best = choices.min_by(|(_, a), (_, b)| (a.1, a.2).partial_cmp(&(b.1, b.2)).unwrap());
+            if let Some((index, (replica, _, _))) = best.filter(|_| few && self.level == 0.0) {
+                self.extras.add(self.now);
+                self.send(query, index, replica, actions);
+            }
+        }
+    }
+
+    fn holders(&self, shard: u32) -> impl Iterator<Item = ReplicaId> + '_ {
+        let cells = self.cells.len() as u32;
+        let span = self.set.span.min(cells);
+        (0..span).flat_map(move |j| self.cells[(shard.wrapping_add(j) % cells) as usize].iter().copied())
+    }
+
+    /// The count by which replicas are compared: our parts out, failed ones that still count, and the part
+    /// to be sent, times the factor of a far slower replica, over the share a cold one is known to have.
+    fn load(&self, replica: &Replica) -> f64 {
+        let count = f64::from(replica.out) + replica.ghosts.len() as f64 + 1.0;
+        count * replica.factor / self.warmth(replica)
+    }
+
+    /// The best replica for a part among those the gate lets through, its load, and a draw for ties.
+    fn choose(&self, query: &Query, part: &Part) -> Option<(ReplicaId, f64, f64)> {
+        let mut best: Option<(bool, f64, f64, ReplicaId)> = None;
+        for id in self.holders(part.shard).filter(|id| self.may_send(query, part, *id)) {
+            let tried = part.attempts.iter().any(|attempt| attempt.replica == id);
+            // Ties fall at random: a hash of the seed, the part and the replica, fixed for the attempt.
+            let tie = mix(self.rng ^ (u64::from(part.id) << 32) ^ u64::from(id));
+            let mine = (tried, self.load(&self.replicas[&id]), tie, id);
+            if best.is_none_or(|best| (mine.0, mine.1, mine.2) < (best.0, best.1, best.2)) {
+                best = Some(mine);
+            }
+        }
+        best.map(|(_, load, tie, id)| (id, load, tie))
+    }
+
+    // ---- the gates ----
+
+    /// Every send passes here: attempt cap, drain, cold budget, retry budget, effect class, second copies.
+    fn may_send(&self, query: &Query, part: &Part, id: ReplicaId) -> bool {
+        let Some(replica) = self.replicas.get(&id) else { return false };
+        let class = &self.set.classes[query.class];
+        let tried = part.attempts.len();
+        if replica.lifecycle != Lifecycle::On || tried as u32 >= self.set.limits.attempts || part.done {
+            return false;
+        }
+        if !self.within_cold_budget(replica, query.class * 2 + usize::from(query.step - 1)) {
+            return false;
+        }
+        if tried == 0 {
+            return true;
+        }
+        let mut maybe_ran = part.attempts.iter().filter(|attempt| attempt.open || !attempt.never_ran);
+        let first = maybe_ran.next().map(|attempt| attempt.sent);
+        let repeatable = match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => first.is_none_or(|sent| self.now - sent < class.keyed_window - self.set.tick),
+            Effect::Unsafe => first.is_none(),
+        };
+        let open = part.attempts.iter().any(|attempt| attempt.open);
+        let here = part.attempts.iter().any(|attempt| attempt.open && attempt.replica == id);
+        let storm = self.copies.read(self.now) + 1.0 > COPY_FLOOR + COPY_SHARE * self.sent.read(self.now);
+        repeatable
+            && !here
+            && !storm
+            && (!open || self.set.limits.may_duplicate)
+            && self.within_retry_budget()
+    }
+
+    fn within_retry_budget(&self) -> bool {
+        let Some(budget) = self.set.rules.retry_budget else { return true };
+        let since = self.now - budget.window;
+        // The bounds lean to the careful side by a tick at either end of the window.
+        let used = self.further.iter().filter(|at| **at >= since - self.set.tick).count() as f64;
+        let taken = self.taken.iter().filter(|at| **at > since + self.set.tick).count() as f64;
+        used + 1.0 <= budget.floor + budget.share * taken
+    }
+
+    /// The share of its capacity that a replica is known to have: it grows evenly to 1 at the slowest.
+    fn warmth(&self, replica: &Replica) -> f64 {
+        let Some(started) = replica.started else { return 1.0 };
+        let cold = self.set.rules.cold_share;
+        let grown = (self.now - started).over(self.set.rules.warm_within).clamp(0.0, 1.0);
+        (cold + (1.0 - cold) * grown).max(0.01)
+    }
+
+    /// Work sent to a cold replica in any window of `fall` stays within this front node's share of what
+    /// it stands, taking it for one core at the speed warm ones show. All work counts, copies too. Where
+    /// the share is less than one part, parts are spaced out instead. Just after our own start we know
+    /// neither the cost of a part nor what we sent before: nothing goes to a cold replica at first.
+    fn within_cold_budget(&self, replica: &Replica, slot: usize) -> bool {
+        let warmth = self.warmth(replica);
+        let rules = &self.set.rules;
+        let Some(started) = replica.started.filter(|_| warmth < 1.0) else { return true };
+        if self.now - self.born < rules.fall {
+            return false;
+        }
+        let share = COLD_MARGIN / f64::from(self.set.fleet_size.max(1));
+        let rate = share * rules.tip_multiple * warmth * replica.size.min(1.0);
+        let budget = rate * rules.fall.0 as f64;
+        let work = self.cost(slot).map_or(budget, |work| work.0 as f64);
+        let spent: f64 =
+            replica.recent.iter().filter(|(at, _)| self.now - *at <= rules.fall).map(|(_, work)| work).sum();
+        let last = replica.last_sent.unwrap_or(started).max(started).max(self.born);
+        let spaced = (self.now - last).0 as f64 > work / rate;
+        spent + work <= budget || (work > budget && spaced)
+    }
+
+    fn cost(&self, slot: usize) -> Option<Micros> {
+        self.slots[slot].work.or_else(|| self.slots[slot / 2 * 2].work)
+    }
+
+    // ---- sending and ending ----
+
+    /// The only place from which an attempt goes out.
+    fn send(&mut self, query: &mut Query, index: usize, id: ReplicaId, actions: &mut Vec<Action>) {
+        if !self.may_send(query, &query.parts[index], id) {
+            return;
+        }
+        let stop = self.stop_at(query);
+        let slot = query.class * 2 + usize::from(query.step - 1);
+        let (now, round, fall) = (self.now, self.round, self.set.rules.fall);
+        let work = self.cost(slot).map_or(fall.0 as f64, |work| work.0 as f64);
+        // Where an attempt can't be doubled or cancelled, its time-out must free the part for the next.
+        let limits = &self.set.limits;
+        let patience = self.overdue_after(slot).times(2.0);
+        let alone = !limits.may_duplicate || !limits.cancel;
+        let timeout = if alone { patience.min(stop - now) } else { stop - now };
+        let Some(replica) = self.replicas.get_mut(&id) else { return };
+        let (in_round, call, parts) = replica.call;
+        if in_round == round && parts < limits.batch && parts > 0 {
+            replica.call.2 += 1;
+        } else {
+            self.next_call += 1;
+            replica.call = (round, self.next_call, 1);
+            replica.out += 1;
+        }
+        let call = if replica.call.1 == call { call } else { replica.call.1 };
+        replica.recent.retain(|(at, _)| now - *at <= fall);
+        replica.recent.push_back((now, work));
+        replica.last_sent = Some(now);
+        *self.calls.entry(call).or_insert(0) += 1;
+        let part = &mut query.parts[index];
+        let number = part.attempts.len() as u32;
+        part.attempts.push(Attempt { replica: id, sent: now, open: true, never_ran: false });
+        self.flights
+            .insert((part.id, number), Flight { replica: id, sent: now, call, slot, cancelled: false });
+        self.sent.add(now);
+        if number > 0 {
+            self.copies.add(now);
+            self.further.push_back(now);
+        }
+        if let Some(window) = self.set.rules.retry_budget.map(|budget| budget.window.times(2.0)) {
+            while self.taken.front().is_some_and(|at| now - *at > window) {
+                self.taken.pop_front();
+            }
+            while self.further.front().is_some_and(|at| now - *at > window) {
+                self.further.pop_front();
+            }
+        } else {
+            self.taken.clear();
+            self.further.clear();
+        }
+        self.random();
+        actions.push(Action::Attempt { part: part.id, replica: id, timeout });
+    }
+
+    /// Cancels what is still out: of every part, or only of those whose answer is in.
+    fn cancel_open(&mut self, query: &Query, only_done: bool, actions: &mut Vec<Action>) {
+        for part in query.parts.iter().filter(|part| part.done || !only_done) {
+            for (number, attempt) in (0..).zip(&part.attempts) {
+                let flight = self.flights.get_mut(&(part.id, number));
+                let Some(flight) = flight.filter(|flight| attempt.open && !flight.cancelled) else {
+                    continue;
+                };
+                flight.cancelled = true;
+                if self.set.limits.cancel {
+                    actions.push(Action::Cancel { part: part.id, attempt: number });
+                }
+            }
+        }
+    }
+
+    fn forget(&mut self, query: &Query, actions: &mut Vec<Action>) {
+        self.cancel_open(query, false, actions);
+        self.numbers.remove(&query.id);
+        for part in &query.parts {
+            self.parts.remove(&part.id);
+        }
+    }
+
+    /// The final answer without a whole one: in part if the class allows it and enough is in, a refusal
+    /// where trying again does no harm, else a failure.
+    fn give_up(&mut self, query: &Query, actions: &mut Vec<Action>) {
+        let class = &self.set.classes[query.class];
+        let mine = query.parts.iter().filter(|part| part.step == query.step);
+        let landed: f64 = mine.filter(|part| part.done).map(|part| part.weight).sum();
+        let last_step = query.step == 2 || class.second_step == 0;
+        let partial = class.floor < class.need && last_step && landed > class.floor - EPS;
+        let mut attempts = query.parts.iter().flat_map(|part| &part.attempts);
+        let harmless =
+            class.effect == Effect::Safe || attempts.all(|attempt| !attempt.open && attempt.never_ran);
+        let limits = &self.set.limits;
+        let wait = limits.retry_after.then_some(limits.max_retry_after);
+        let id = query.id;
+        if partial && landed > 0.0 {
+            actions.push(Action::Answer { query: id, whole: false });
+        } else if harmless {
+            let retry_after = wait.map(|most| most.times(0.5 + 0.5 * self.random()));
+            actions.push(Action::Refuse { query: id, retry_after });
+        } else {
+            actions.push(Action::Fail { query: id });
+        }
+        self.forget(query, actions);
+    }
+}
