--- a/src/interface.rs
+++ b/src/interface.rs
@@ -168,13 +168,14 @@
 }
 
 /// What the list says of a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Lifecycle {
     /// In service.
     On,
     /// Draining: finishes what it has.
     Draining,
-    /// Gone.
+    /// Gone, or never heard of.
+    #[default]
     Gone,
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,10 +22,13 @@
 const PACE_HALF: Micros = Micros(4_000_000); // a pace without news falls halfway back to 1 in this time
 const GHOST: Micros = Micros(1_500_000); // a failed attempt keeps counting this long
 const COLD_MARGIN: f64 = 0.7; // part of our share of a cold replica's budget that we use
-const LEVEL_EVERY: Micros = Micros(200_000); // how often the shedding level moves
-const STRAIN_AIM: f64 = 0.6; // predicted time over aim that admission holds
-const STRAIN_WINDOW: Micros = Micros(3_000_000); // latencies older than this don't speak of strain
-const MOST_SHED: f64 = 0.9; // some queries always go through, or nobody sees the end of a surge
+const STRAIN_FROM: f64 = 0.45; // parts that take this share of the aim mean that queries will miss it
+const STRAIN_OVER: f64 = 0.3; // and below this share the strain is over
+const STRAIN_WINDOW: Micros = Micros(1_500_000); // latencies older than this don't speak of strain
+const FLOW_HALF: Micros = Micros(1_000_000); // half-life of the flow of answers
+const LIMIT_SHARE: f64 = 0.3; // share of the aim that parts may take on average while under strain
+const LEAST_LIMIT: f64 = 0.5; // parts out for each replica that admission always allows
+const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
 /// One attempt of a part, as its query remembers it.
@@ -66,6 +69,7 @@
     cancelled: bool,
 }
 
+#[derive(Default)]
 struct Replica {
     cell: u32,
     size: f64,
@@ -98,11 +102,11 @@
 struct Fading(f64, Micros);
 
 impl Fading {
-    fn read(&self, now: Micros) -> f64 {
-        self.0 * fade(now - self.1, HALF_LIFE)
+    fn read(&self, now: Micros, half: Micros) -> f64 {
+        self.0 * fade(now - self.1, half)
     }
-    fn add(&mut self, now: Micros) {
-        *self = Fading(self.read(now) + 1.0, now);
+    fn add(&mut self, now: Micros, half: Micros, amount: f64) {
+        *self = Fading(self.read(now, half) + amount, now);
     }
 }
 
@@ -122,6 +126,16 @@
     (sorted.len() >= LEAST_SAMPLES).then(|| sorted[(last as f64 * share) as usize])
 }
 
+/// What was sent and taken.
+#[derive(Default)]
+struct Ledger {
+    sent: Fading,
+    extras: Fading,
+    copies: Fading,
+    taken: VecDeque<Micros>,   // queries and parts, for the retry budget
+    further: VecDeque<Micros>, // further attempts, for the retry budget
+}
+
 /// The decisions of one front node.
 pub struct FrontNode {
     set: Settings,
@@ -139,16 +153,12 @@
     calls: BTreeMap<u64, u32>, // call to its parts still out
     slots: Vec<Slot>,          // by class and step
     longest_try: Vec<Micros>,  // by class: the longest time a try was given
-    taken: VecDeque<Micros>,   // queries and parts taken, for the retry budget
-    further: VecDeque<Micros>, // further attempts, for the retry budget
-    sent: Fading,
-    extras: Fading,
-    copies: Fading,
+    ledger: Ledger,
     tenants: Vec<Fading>,
     densities: VecDeque<f64>, // worth for work of the latest queries
-    level: f64,               // share of the least worthy queries that is declined
-    level_at: Micros,
-    asked: Option<Micros>, // when the watch was asked for, if it was
+    limit: Option<f64>,       // parts out that admission allows, while under strain
+    flow: Fading,             // answers of late, each as the time its class may take
+    asked: Option<Micros>,    // when the watch was asked for, if it was
     ask_at: Micros,
     ask_wait: Micros,
     wake_at: Option<Micros>,
@@ -173,15 +183,11 @@
             calls: BTreeMap::new(),
             slots: (0..classes * 2).map(|_| Slot::default()).collect(),
             longest_try: vec![Micros(0); classes],
-            taken: VecDeque::new(),
-            further: VecDeque::new(),
-            sent: Fading::default(),
-            extras: Fading::default(),
-            copies: Fading::default(),
+            ledger: Ledger::default(),
             tenants: vec![Fading::default(); settings.tenants.len()],
             densities: VecDeque::new(),
-            level: 0.0,
-            level_at: now,
+            limit: None,
+            flow: Fading::default(),
             asked: None,
             ask_at: now,
             ask_wait: SWEEP.times(10.0),
@@ -203,6 +209,7 @@
         }
         self.judge(actions);
         self.watch_list(actions);
+        self.set_limit(actions);
         let open: Vec<u64> = self.queries.keys().copied().collect();
         for number in open {
             if let Some(query) = self.queries.remove(&number) {
@@ -245,7 +252,7 @@
                 actions.push(Action::Remark("list lost, asking again".into()));
             }
             Event::Query { id, number, class, tenant, expires_in, hint, parts: _, repeat: _ } => {
-                self.taken.push_back(self.now);
+                self.ledger.taken.push_back(self.now);
                 let Some(settings) = self.set.classes.get(*class) else {
                     actions.push(Action::Refuse { query: *id, retry_after: None }); // nothing of it ran
                     return;
@@ -276,7 +283,7 @@
                 self.queries.insert(*number, query);
             }
             Event::Part { id, number, shard, weight, hint: _ } => {
-                self.taken.push_back(self.now);
+                self.ledger.taken.push_back(self.now);
                 if let Some(query) = self.queries.get_mut(number) {
                     self.parts.insert(*id, (*number, query.parts.len()));
                     let (shard, weight, step) = (*shard, *weight, query.step);
@@ -317,22 +324,8 @@
         }
         for line in lines {
             let now = self.now;
-            let replica = self.replicas.entry(line.replica).or_insert_with(|| Replica {
-                cell: line.cell,
-                size: line.size,
-                lifecycle: line.lifecycle,
-                started: line.started,
-                out: 0,
-                ghosts: Vec::new(),
-                pace: 1.0,
-                pace_at: now,
-                last_ok: Micros(i64::MIN / 2),
-                factor: 1.0,
-                condemned: false,
-                call: (0, 0, 0),
-                recent: VecDeque::new(),
-                last_sent: None,
-            });
+            let fresh = || Replica { started: line.started, pace: 1.0, factor: 1.0, ..Replica::default() };
+            let replica = self.replicas.entry(line.replica).or_insert_with(fresh);
             if line.started.is_some() && line.started != replica.started {
                 // A new process: what its predecessor did says nothing of it.
                 replica.pace = 1.0;
@@ -387,6 +380,9 @@
             let slot = &mut self.slots[flight.slot];
             if outcome == Outcome::Ok {
                 slot.ring.push_back((self.now, took));
+                let class = &self.set.classes[flight.slot / 2];
+                let steps = if class.second_step > 0 { 2.0 } else { 1.0 };
+                self.flow.add(self.now, FLOW_HALF, class.aim.0 as f64 / steps);
             }
             if slot.ring.len() > RING {
                 slot.ring.pop_front();
@@ -482,27 +478,31 @@
 
     // ---- admission ----
 
-    /// Declines the least worthy share of queries while the work in hand can't be served in time.
-    /// Strain is the time that a query's steps take of late against its aim. Answers any surge, lost
-    /// capacity or slowdown of everything; hurts when a few slow parts make up the upper quantile.
-    fn move_level(&mut self, actions: &mut Vec<Action>) {
-        if self.now - self.level_at < LEVEL_EVERY {
-            return;
-        }
-        self.level_at = self.now;
-        let mut strain: f64 = 0.0;
+    /// Sets the limit on parts out. Strain is what parts take of late against their class's aim, or how
+    /// full this front node is. Under strain answers come at the rate that can be had, and rate times the
+    /// latency wished is what can be out in good time (Little). Answers any surge, lost capacity or
+    /// slowdown of everything at once; hurts when a few slow replicas make up the quantile.
+    fn set_limit(&mut self, actions: &mut Vec<Action>) {
+        let mut strain = STRAIN_FROM * self.parts.len() as f64 / f64::from(self.set.limits.held.max(1));
         for (class, settings) in self.set.classes.iter().enumerate() {
             let first = self.slots[class * 2].recent.unwrap_or_default();
             let second = self.slots[class * 2 + 1].recent.unwrap_or_default();
             strain = strain.max((first + second).over(settings.aim));
         }
-        let before = self.level;
-        let step = (0.3 * (strain - STRAIN_AIM)).clamp(-0.05, 0.1);
-        self.level = (self.level + step).clamp(0.0, MOST_SHED);
-        if (before > 0.0) != (self.level > 0.0) {
-            let word = if self.level > 0.0 { "begun" } else { "ended" };
+        let strained = strain > if self.limit.is_some() { STRAIN_OVER } else { STRAIN_FROM };
+        if strained != self.limit.is_some() {
+            let word = if strained { "begun" } else { "ended" };
             actions.push(Action::Remark(format!("shedding {word}, strain {strain:.2}")));
         }
+        let least = LEAST_LIMIT * self.replicas.len() as f64;
+        let flow = self.flow.read(self.now, FLOW_HALF) * std::f64::consts::LN_2 / FLOW_HALF.0 as f64;
+        self.limit = strained.then_some((flow * LIMIT_SHARE).max(least));
+    }
+
+    /// Parts that are out at replicas from which answers are to be expected.
+    fn parts_out(&self) -> f64 {
+        let sound = |flight: &&Flight| self.replicas[&flight.replica].factor < CONDEMNED && !flight.cancelled;
+        self.flights.values().filter(sound).count() as f64
     }
 
     /// What the query earns for each part it needs, as things stand.
@@ -512,8 +512,9 @@
         let mut worth = class.worth * if late { class.late_worth } else { 1.0 };
         if let Some(tenant) = query.tenant {
             let counter = &mut self.tenants[tenant];
-            counter.add(self.now);
-            let rate = counter.read(self.now) * std::f64::consts::LN_2 / HALF_LIFE.over(Micros(1_000_000));
+            counter.add(self.now, HALF_LIFE, 1.0);
+            let rate = counter.read(self.now, HALF_LIFE) * std::f64::consts::LN_2
+                / HALF_LIFE.over(Micros(1_000_000));
             let quota = self.set.tenants[tenant].quota_per_s / f64::from(self.set.fleet_size.max(1));
             if rate > quota * 1.3 {
                 worth *= self.set.over_quota_worth;
@@ -538,21 +539,26 @@
         let up =
             |part: &&Part| self.holders(part.shard).any(|id| self.replicas[&id].lifecycle == Lifecycle::On);
         let reach: f64 = query.parts.iter().filter(up).map(|part| part.weight).sum();
-        !worthless && rank >= self.level && (!listed || reach > class.floor - EPS)
+        let parts = query.parts.len() as f64 * class.need;
+        let room = self.limit.is_none_or(|limit| {
+            self.parts_out() + parts <= (limit * (1.0 - RANK_TILT * (1.0 - rank))).max(parts)
+        });
+        !worthless && room && (!listed || reach > class.floor - EPS)
     }
 
     // ---- one query's life ----
 
-    /// When the query is given up: at the aim if nothing is earned after it, else at the client's end.
+    /// When the query is given up: at the client's end, or at the aim if nothing is earned after it or
+    /// if, under strain, what it still earns is less than what another query earns with the same work.
     fn stop_at(&self, query: &Query) -> Micros {
         let margin = self.set.tick.times(2.0);
-        let late = self.set.classes[query.class].late_worth > 0.0;
+        let least = if self.limit.is_some() { 0.5 } else { 0.0 };
+        let late = self.set.classes[query.class].late_worth > least;
         (if late { query.end_at } else { query.end_at.min(query.aim_at) }) - margin
     }
 
     fn advance(&mut self, mut query: Query, actions: &mut Vec<Action>) -> Option<Query> {
         if !query.admitted {
-            self.move_level(actions);
             if !self.admit(&query) {
                 self.give_up(&query, actions);
                 return None;
@@ -616,12 +622,13 @@
         if !query.extra_asked && query.step == 1 && need < 1.0 {
             query.extra_asked = true;
             // In a surge extras would be served before their cancellation arrives: none while shedding.
-            let few = self.extras.read(self.now) + 1.0 <= EXTRA_SHARE * self.sent.read(self.now);
+            let few = self.ledger.extras.read(self.now, HALF_LIFE) + 1.0
+                <= EXTRA_SHARE * self.ledger.sent.read(self.now, HALF_LIFE);
             let unsent = query.parts.iter().enumerate().filter(|(_, part)| part.attempts.is_empty());
             let choices = unsent.filter_map(|(index, part)| Some((index, self.choose(query, part)?)));
             let best = choices.min_by(|(_, a), (_, b)| (a.1, a.2).partial_cmp(&(b.1, b.2)).unwrap());
-            if let Some((index, (replica, _, _))) = best.filter(|_| few && self.level == 0.0) {
-                self.extras.add(self.now);
+            if let Some((index, (replica, _, _))) = best.filter(|_| few && self.limit.is_none()) {
+                self.ledger.extras.add(self.now, HALF_LIFE, 1.0);
                 self.send(query, index, replica, actions);
             }
         }
@@ -680,7 +687,8 @@
         };
         let open = part.attempts.iter().any(|attempt| attempt.open);
         let here = part.attempts.iter().any(|attempt| attempt.open && attempt.replica == id);
-        let storm = self.copies.read(self.now) + 1.0 > COPY_FLOOR + COPY_SHARE * self.sent.read(self.now);
+        let storm = self.ledger.copies.read(self.now, HALF_LIFE) + 1.0
+            > COPY_FLOOR + COPY_SHARE * self.ledger.sent.read(self.now, HALF_LIFE);
         repeatable
             && !here
             && !storm
@@ -692,8 +700,8 @@
         let Some(budget) = self.set.rules.retry_budget else { return true };
         let since = self.now - budget.window;
         // The bounds lean to the careful side by a tick at either end of the window.
-        let used = self.further.iter().filter(|at| **at >= since - self.set.tick).count() as f64;
-        let taken = self.taken.iter().filter(|at| **at > since + self.set.tick).count() as f64;
+        let used = self.ledger.further.iter().filter(|at| **at >= since - self.set.tick).count() as f64;
+        let taken = self.ledger.taken.iter().filter(|at| **at > since + self.set.tick).count() as f64;
         used + 1.0 <= budget.floor + budget.share * taken
     }
 
@@ -766,21 +774,21 @@
         part.attempts.push(Attempt { replica: id, sent: now, open: true, never_ran: false });
         self.flights
             .insert((part.id, number), Flight { replica: id, sent: now, call, slot, cancelled: false });
-        self.sent.add(now);
+        self.ledger.sent.add(now, HALF_LIFE, 1.0);
         if number > 0 {
-            self.copies.add(now);
-            self.further.push_back(now);
+            self.ledger.copies.add(now, HALF_LIFE, 1.0);
+            self.ledger.further.push_back(now);
         }
         if let Some(window) = self.set.rules.retry_budget.map(|budget| budget.window.times(2.0)) {
-            while self.taken.front().is_some_and(|at| now - *at > window) {
-                self.taken.pop_front();
+            while self.ledger.taken.front().is_some_and(|at| now - *at > window) {
+                self.ledger.taken.pop_front();
             }
-            while self.further.front().is_some_and(|at| now - *at > window) {
-                self.further.pop_front();
+            while self.ledger.further.front().is_some_and(|at| now - *at > window) {
+                self.ledger.further.pop_front();
             }
         } else {
-            self.taken.clear();
-            self.further.clear();
+            self.ledger.taken.clear();
+            self.ledger.further.clear();
         }
         self.random();
         actions.push(Action::Attempt { part: part.id, replica: id, timeout });
