--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,12 +22,12 @@
 const PACE_HALF: Micros = Micros(4_000_000); // a pace without news falls halfway back to 1 in this time
 const GHOST: Micros = Micros(1_500_000); // a failed attempt keeps counting this long
 const COLD_MARGIN: f64 = 0.7; // part of our share of a cold replica's budget that we use
-const STRAIN_FROM: f64 = 0.45; // parts that take this share of the aim mean that queries will miss it
-const STRAIN_OVER: f64 = 0.3; // and below this share the strain is over
+const STRAIN_FROM: f64 = 0.6; // parts that take this share of the aim mean that queries will miss it
+const STRAIN_OVER: f64 = 0.4; // and below this share the strain is over
 const STRAIN_WINDOW: Micros = Micros(1_500_000); // latencies older than this don't speak of strain
 const FLOW_HALF: Micros = Micros(1_000_000); // half-life of the flow of answers
-const LIMIT_SHARE: f64 = 0.3; // share of the aim that parts may take on average while under strain
-const LEAST_LIMIT: f64 = 0.5; // parts out for each replica that admission always allows
+const LIMIT_SHARE: f64 = 0.6; // share of the aim that parts may take on average while under strain
+const LEAST_LIMIT: f64 = 2.0; // parts out for each replica that admission always allows
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
