--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -12,7 +12,6 @@
 /// One instance: its front node and the names it was given.
 struct Instance {
     node: FrontNode,
-    zones: Vec<String>,
     classes: Vec<String>,
     tenants: Vec<String>,
     servers: Vec<String>,
@@ -90,7 +89,7 @@
     found.ok_or_else(|| format!("field '{name}' has no number for class {index}"))
 }
 
-fn settings(options: &Value, zones: &[String]) -> Parsed<Settings> {
+fn settings(options: &Value) -> Parsed<Settings> {
     let info = field(options, "family_info")?;
     let (floors, needs) = (list(info, "class_floor")?, list(info, "need_by_class")?);
     let (partials, steps) = (list(info, "partial_earns")?, list(info, "second_step")?);
@@ -116,8 +115,7 @@
     }
     let tenants = list(options, "projects")?.iter();
     let tenants = tenants.map(|tenant| Ok(Tenant { quota_per_s: number(tenant, "quota_per_s")? }));
-    let (fees, limits, rules) =
-        (field(options, "fees")?, field(options, "permissions")?, field(options, "rules")?);
+    let (limits, rules) = (field(options, "permissions")?, field(options, "rules")?);
     let retry_budget = match maybe(rules, "counted_over", micros)? {
         None => None,
         Some(window) => Some(RetryBudget {
@@ -128,13 +126,9 @@
     };
     Ok(Settings {
         fleet_size: id(options, "fleet_size")?,
-        zone: place(zones, text(options, "zone")?).map_or(u32::MAX, |zone| zone as u32),
         classes,
         tenants: tenants.collect::<Parsed<_>>()?,
         over_quota_worth: maybe(options, "over_share_worth", number)?.unwrap_or(1.0),
-        waste_price: maybe(fees, "waste", number)?.unwrap_or(0.0),
-        late_price: maybe(fees, "late_fail", number)?.unwrap_or(0.0),
-        crossing_price: maybe(fees, "cross_zone", number)?.unwrap_or(0.0),
         must_ask: text(options, "discovery")? != "push",
         cells: id(info, "positions")?,
         span: id(info, "span")?,
@@ -143,7 +137,6 @@
             attempts: id(limits, "try_limit")?,
             may_duplicate: flag(limits, "may_duplicate")?,
             cancel: flag(limits, "cancel")?,
-            probing: flag(limits, "probing")?,
             retry_after: flag(limits, "retry_after")?,
             max_retry_after: maybe(limits, "max_retry_after", micros)?.unwrap_or_default(),
             held: id(limits, "most_held")?,
@@ -154,8 +147,6 @@
             warm_within: micros(rules, "warm_within")?,
             tip_multiple: number(rules, "tip_multiple")?,
             fall: micros(rules, "fall")?,
-            drain_grace: micros(rules, "drain_grace")?,
-            answer_grace: micros(rules, "grace_to_answer")?,
             ask_within: maybe(rules, "must_ask_in", micros)?.unwrap_or_default(),
             retry_budget,
         },
@@ -164,13 +155,10 @@
 
 impl Instance {
     fn new(seed: u64, options: &Value, now: Micros) -> Parsed<Instance> {
-        let zones =
-            list(options, "azs")?.iter().filter_map(Value::as_str).map(str::to_owned).collect::<Vec<_>>();
         Ok(Instance {
-            node: FrontNode::new(settings(options, &zones)?, seed, now),
+            node: FrontNode::new(settings(options)?, seed, now),
             classes: names(list(options, "classes")?, "name")?,
             tenants: names(list(options, "projects")?, "name")?,
-            zones,
             servers: Vec::new(),
             numbers: HashMap::new(),
             events: Vec::new(),
@@ -189,11 +177,8 @@
     }
 
     fn listed(&mut self, item: &Value) -> Parsed<Listed> {
-        let zone = maybe(item, "az", |value, name| text(value, name).map(str::to_owned))?;
-        let zone = zone.and_then(|zone| place(&self.zones, &zone));
         Ok(Listed {
             replica: self.replica(text(item, "server")?),
-            zone: zone.map_or(u32::MAX, |zone| zone as u32),
             cell: id(item, "cell")?,
             size: maybe(item, "scale", number)?.unwrap_or(1.0),
             lifecycle: match text(item, "lifecycle")? {
@@ -241,8 +226,6 @@
                     tenant: tenant.and_then(|name| place(&self.tenants, name)),
                     expires_in: micros(line, "expires_in")?,
                     hint,
-                    parts: self::number(line, "amount")? as u32,
-                    repeat: maybe(line, "repeat", flag)?.unwrap_or(false),
                 }
             }
             "CLOSED_ATTEMPT" => Event::AttemptEnded {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -93,7 +93,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Rules {
     /// Least share of its capacity with which a replica starts.
     pub cold_share: f64,
@@ -103,10 +103,6 @@
     pub tip_multiple: f64,
     /// ...for this long.
     pub fall: Micros,
-    /// How long after the word of a drain new attempts are still tolerated.
-    pub drain_grace: Micros,
-    /// How long after the client's time a final answer still counts.
-    pub answer_grace: Micros,
     /// Where the list must be asked for: what was listed this long ago counts as told.
     pub ask_within: Micros,
     /// The retry budget, where one is set.
@@ -114,7 +110,7 @@
 }
 
 /// What the deployment permits and limits.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Limits {
     /// Most attempts for one part.
     pub attempts: u32,
@@ -122,8 +118,6 @@
     pub may_duplicate: bool,
     /// Attempts may be cancelled.
     pub cancel: bool,
-    /// Replicas may be probed.
-    pub probing: bool,
     /// Clients are given a time to come back.
     pub retry_after: bool,
     /// Longest such time that clients obey.
@@ -135,24 +129,16 @@
 }
 
 /// Everything a front node is told when it starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// Number of front nodes.
     pub fleet_size: u32,
-    /// Zone this front node sits in.
-    pub zone: u32,
     /// The classes, by their number.
     pub classes: Vec<Class>,
     /// The tenants, by their number.
     pub tenants: Vec<Tenant>,
     /// Worth of what a tenant sends beyond its share, as a share of the usual.
     pub over_quota_worth: f64,
-    /// Price of work that serves no answer, as a share of the worth asked for.
-    pub waste_price: f64,
-    /// Price of worth that ends unserved after its aim.
-    pub late_price: f64,
-    /// Price of each part that crosses zones.
-    pub crossing_price: f64,
     /// The list comes only when asked for.
     pub must_ask: bool,
     /// Number of cells.
@@ -184,8 +170,6 @@
 pub struct Listed {
     /// The replica.
     pub replica: ReplicaId,
-    /// Its zone.
-    pub zone: u32,
     /// Its cell.
     pub cell: u32,
     /// Registered size, to be set against that of others.
@@ -245,10 +229,6 @@
         expires_in: Micros,
         /// Rough work of all its parts, where hinted.
         hint: Option<Micros>,
-        /// Parts of its first step.
-        parts: u32,
-        /// The client has asked before.
-        repeat: bool,
     },
     /// A part of a query.
     Part {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,11 +7,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 // Tuned values. None comes from a deployment; each is a ratio, or a span against which ratios settle.
+const SECOND: Micros = Micros(1_000_000);
 const SWEEP: Micros = Micros(20_000); // how often open queries are looked at when nothing happens
 const HALF_LIFE: Micros = Micros(10_000_000); // of the counters of parts, extras, copies, tenants' queries
 const EXTRA_SHARE: f64 = 0.1; // extras stay under this share of our parts (design page)
 const COPY_SHARE: f64 = 0.15; // further attempts stay under this share of our parts ...
 const COPY_FLOOR: f64 = 6.0; // ... plus so many, so that a storm of copies cannot start
+const ASK_WAIT: Micros = Micros(200_000); // first wait before the list is asked for again
 const RING: usize = 64; // latencies kept for each class and step
 const LEAST_SAMPLES: usize = 8; // fewer say nothing
 const LATE_RATIO: f64 = 2.5; // an attempt is never overdue before this multiple of the typical latency
@@ -28,10 +30,13 @@
 const FLOW_HALF: Micros = Micros(1_000_000); // half-life of the flow of answers
 const LIMIT_SHARE: f64 = 0.6; // share of the aim that parts may take on average while under strain
 const LEAST_LIMIT: f64 = 2.0; // parts out for each replica that admission always allows
+const OVER_QUOTA: f64 = 1.3; // a tenant beyond this multiple of our share of its quota is over it
+const WORTH_WAITING: f64 = 0.5; // under strain, a lower late worth is not waited for
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
 /// One attempt of a part, as its query remembers it.
+#[derive(Clone)]
 struct Attempt {
     replica: ReplicaId,
     sent: Micros,
@@ -39,6 +44,7 @@
     never_ran: bool,
 }
 
+#[derive(Default)]
 struct Part {
     id: Id,
     shard: u32,
@@ -48,6 +54,7 @@
     attempts: Vec<Attempt>,
 }
 
+#[derive(Default)]
 struct Query {
     id: Id,
     class: usize,
@@ -67,6 +74,8 @@
     call: u64,
     slot: usize,
     cancelled: bool,
+    query: u64,   // number of the query
+    index: usize, // place of the part in it
 }
 
 #[derive(Default)]
@@ -87,6 +96,13 @@
     last_sent: Option<Micros>,
 }
 
+impl Replica {
+    /// The pace, which drifts back to 1 while nothing is heard.
+    fn pace_now(&self, now: Micros) -> f64 {
+        1.0 + (self.pace - 1.0) * fade(now - self.pace_at, PACE_HALF)
+    }
+}
+
 /// Latencies of one class and step.
 #[derive(Default)]
 struct Slot {
@@ -108,6 +124,9 @@
     fn add(&mut self, now: Micros, half: Micros, amount: f64) {
         *self = Fading(self.read(now, half) + amount, now);
     }
+    fn per_second(&self, now: Micros, half: Micros) -> f64 {
+        self.read(now, half) * std::f64::consts::LN_2 / half.over(SECOND)
+    }
 }
 
 fn fade(age: Micros, half: Micros) -> f64 {
@@ -126,39 +145,32 @@
     (sorted.len() >= LEAST_SAMPLES).then(|| sorted[(last as f64 * share) as usize])
 }
 
-/// What was sent and taken.
-#[derive(Default)]
-struct Ledger {
-    sent: Fading,
-    extras: Fading,
-    copies: Fading,
-    taken: VecDeque<Micros>,   // queries and parts, for the retry budget
-    further: VecDeque<Micros>, // further attempts, for the retry budget
-}
-
 /// The decisions of one front node.
+#[derive(Default)]
 pub struct FrontNode {
     set: Settings,
     rng: u64,
     now: Micros,
     born: Micros,
     round: u64,
-    next_call: u64,
+    last_call: u64,
     replicas: BTreeMap<ReplicaId, Replica>,
     cells: Vec<Vec<ReplicaId>>,
     queries: BTreeMap<u64, Query>,
-    numbers: BTreeMap<Id, u64>,        // query to its number
-    parts: BTreeMap<Id, (u64, usize)>, // part to its query's number and its place there
     flights: BTreeMap<(Id, u32), Flight>,
-    calls: BTreeMap<u64, u32>, // call to its parts still out
     slots: Vec<Slot>,          // by class and step
     longest_try: Vec<Micros>,  // by class: the longest time a try was given
-    ledger: Ledger,
-    tenants: Vec<Fading>,
-    densities: VecDeque<f64>, // worth for work of the latest queries
-    limit: Option<f64>,       // parts out that admission allows, while under strain
-    flow: Fading,             // answers of late, each as the time its class may take
-    asked: Option<Micros>,    // when the watch was asked for, if it was
+    taken: VecDeque<Micros>,   // queries and parts, for the retry budget
+    further: VecDeque<Micros>, // further attempts, for the retry budget
+    sent: Fading,              // parts sent, and of them ...
+    extras: Fading,            // ... the extras ...
+    copies: Fading,            // ... and the further attempts
+    tenants: Vec<Fading>,      // queries of each tenant
+    densities: VecDeque<f64>,  // worth for work of the latest queries
+    flow: Fading,              // answers of late, each as the time its class may take
+    limit: Option<f64>,        // parts out that admission allows, while under strain
+    asked: Option<Micros>,     // when the list was asked for, if a watch may stand
+    told: bool,                // the watch has brought news since
     ask_at: Micros,
     ask_wait: Micros,
     wake_at: Option<Micros>,
@@ -172,30 +184,16 @@
             rng: seed,
             now,
             born: now,
-            round: 0,
-            next_call: 0,
-            replicas: BTreeMap::new(),
             cells: vec![Vec::new(); settings.cells.max(1) as usize],
-            queries: BTreeMap::new(),
-            numbers: BTreeMap::new(),
-            parts: BTreeMap::new(),
-            flights: BTreeMap::new(),
-            calls: BTreeMap::new(),
             slots: (0..classes * 2).map(|_| Slot::default()).collect(),
             longest_try: vec![Micros(0); classes],
-            ledger: Ledger::default(),
             tenants: vec![Fading::default(); settings.tenants.len()],
-            densities: VecDeque::new(),
-            limit: None,
-            flow: Fading::default(),
-            asked: None,
-            ask_at: now,
-            ask_wait: SWEEP.times(10.0),
-            wake_at: None,
+            ask_wait: ASK_WAIT,
             set: settings,
+            ..FrontNode::default()
         };
         // Front nodes often restart together; the list service should not meet them all at once.
-        let spread = Micros(50_000).times(node.set.fleet_size as f64);
+        let spread = ASK_WAIT.times(0.25 * f64::from(node.set.fleet_size));
         node.ask_at = now + spread.min(node.set.rules.ask_within.times(0.25)).times(node.random());
         node
     }
@@ -212,13 +210,12 @@
         self.set_limit(actions);
         let open: Vec<u64> = self.queries.keys().copied().collect();
         for number in open {
-            if let Some(query) = self.queries.remove(&number) {
-                if let Some(query) = self.advance(query, actions) {
-                    self.queries.insert(number, query);
-                }
+            let Some(mut query) = self.queries.remove(&number) else { continue };
+            if self.advance(number, &mut query, actions) {
+                self.queries.insert(number, query);
             }
         }
-        let waiting = self.set.must_ask && self.asked.is_none();
+        let waiting = self.set.must_ask && !self.told;
         if (waiting || !self.queries.is_empty()) && self.wake_at.is_none() {
             self.wake_at = Some(now + SWEEP);
             actions.push(Action::Timer(SWEEP));
@@ -251,8 +248,8 @@
                 self.ask_wait = self.ask_wait.times(2.0).min(self.set.rules.ask_within.times(0.25));
                 actions.push(Action::Remark("list lost, asking again".into()));
             }
-            Event::Query { id, number, class, tenant, expires_in, hint, parts: _, repeat: _ } => {
-                self.ledger.taken.push_back(self.now);
+            Event::Query { id, number, class, tenant, expires_in, hint } => {
+                self.take();
                 let Some(settings) = self.set.classes.get(*class) else {
                     actions.push(Action::Refuse { query: *id, retry_after: None }); // nothing of it ran
                     return;
@@ -265,62 +262,51 @@
                 let waited = if cut { settings.deadline - *expires_in } else { Micros(0) };
                 let stretch = hint.unwrap_or_default().times(settings.aim_stretch);
                 let aim = (settings.aim + stretch).min(settings.deadline) - waited;
-                let query = Query {
-                    id: *id,
-                    class: *class,
-                    tenant: *tenant,
-                    aim_at: self.now + aim,
-                    end_at: self.now + *expires_in,
-                    admitted: false,
-                    extra_asked: false,
-                    step: 1,
-                    parts: Vec::new(),
-                };
+                let (aim_at, end_at) = (self.now + aim, self.now + *expires_in);
+                let (id, class, tenant) = (*id, *class, *tenant);
+                let query = Query { id, class, tenant, aim_at, end_at, step: 1, ..Query::default() };
                 // The final answer has a timer of its own, whatever else waits.
                 let left = self.stop_at(&query) - self.now;
                 actions.push(Action::Timer(left.max(Micros(0))));
-                self.numbers.insert(*id, *number);
                 self.queries.insert(*number, query);
             }
             Event::Part { id, number, shard, weight, hint: _ } => {
-                self.ledger.taken.push_back(self.now);
+                self.take();
                 if let Some(query) = self.queries.get_mut(number) {
-                    self.parts.insert(*id, (*number, query.parts.len()));
-                    let (shard, weight, step) = (*shard, *weight, query.step);
-                    query.parts.push(Part {
-                        id: *id,
-                        shard,
-                        weight,
-                        step,
-                        done: false,
-                        attempts: Vec::new(),
-                    });
+                    let (id, shard, weight, step) = (*id, *shard, *weight, query.step);
+                    query.parts.push(Part { id, shard, weight, step, ..Part::default() });
                 }
             }
             Event::AttemptEnded { part, attempt, outcome, took } => {
                 self.attempt_ended(*part, *attempt, *outcome, *took);
             }
             Event::ClientGone(id) => {
-                let query = self.numbers.get(id).and_then(|number| self.queries.remove(number));
-                if let Some(query) = query {
-                    self.forget(&query, actions);
-                }
-            }
-            Event::Timer => {
-                if self.wake_at.is_some_and(|at| at <= self.now) {
-                    self.wake_at = None;
+                let number =
+                    self.queries.iter().find(|(_, query)| query.id == *id).map(|(number, _)| *number);
+                if let Some(query) = number.and_then(|number| self.queries.remove(&number)) {
+                    self.cancel_open(&query, false, actions);
                 }
             }
+            Event::Timer => self.wake_at = self.wake_at.filter(|at| *at > self.now),
             Event::Probed => {}
         }
     }
 
+    fn take(&mut self) {
+        if let Some(budget) = self.set.rules.retry_budget {
+            let since = self.now - budget.window.times(2.0);
+            self.taken.push_back(self.now);
+            self.taken.retain(|at| *at > since);
+            self.further.retain(|at| *at > since);
+        }
+    }
+
     fn take_lines(&mut self, lines: &[Listed], news: bool, actions: &mut Vec<Action>) {
+        if news && self.ask_wait > ASK_WAIT {
+            actions.push(Action::Remark("list regained".into()));
+        }
         if news {
-            if self.ask_wait > SWEEP.times(10.0) {
-                actions.push(Action::Remark("list regained".into()));
-            }
-            self.ask_wait = SWEEP.times(10.0);
+            (self.told, self.ask_wait) = (true, ASK_WAIT);
         }
         for line in lines {
             let now = self.now;
@@ -344,60 +330,44 @@
 
     fn attempt_ended(&mut self, part: Id, attempt: u32, outcome: Outcome, took: Micros) {
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
-        if let Some(flight) = self.flights.remove(&(part, attempt)) {
-            let overdue = self.overdue(&flight);
-            let left = self.calls.get_mut(&flight.call);
-            let call_over = left.is_none_or(|left| {
-                *left -= 1;
-                *left == 0
-            });
-            if call_over {
-                self.calls.remove(&flight.call);
-            }
-            let typical = self.typical(flight.slot);
-            if let Some(replica) = self.replicas.get_mut(&flight.replica) {
-                replica.out -= u32::from(call_over);
-                let seen = took.over(typical).min(PACE_CAP);
-                let pace = 1.0 + (replica.pace - 1.0) * fade(self.now - replica.pace_at, PACE_HALF);
-                match outcome {
-                    Outcome::Ok => {
-                        replica.pace = pace + PACE_GAIN * (seen - pace);
-                        replica.pace_at = self.now;
-                        replica.last_ok = self.now;
-                    }
-                    Outcome::Moot => {}
-                    Outcome::Cancelled if !overdue => {}
-                    // Failing fast, swallowing parts or refusing them must not make a replica look idle:
-                    // the attempt keeps counting for a while, and a long wait is held against its pace.
-                    // Also covers a server that fails one class only. Hurts where errors are harmless.
-                    _ => {
-                        replica.ghosts.push(self.now + GHOST);
-                        replica.pace = pace.max(seen);
-                        replica.pace_at = self.now;
-                    }
+        let Some(flight) = self.flights.remove(&(part, attempt)) else { return };
+        let overdue = self.overdue(&flight);
+        let call_over = !self.flights.values().any(|other| other.call == flight.call);
+        let seen = took.over(self.typical(flight.slot)).min(PACE_CAP);
+        if let Some(replica) = self.replicas.get_mut(&flight.replica) {
+            replica.out -= u32::from(call_over);
+            let pace = replica.pace_now(self.now);
+            match outcome {
+                Outcome::Ok => {
+                    replica.last_ok = self.now;
+                    (replica.pace, replica.pace_at) = (pace + PACE_GAIN * (seen - pace), self.now);
+                }
+                Outcome::Moot => {}
+                Outcome::Cancelled if !overdue => {}
+                // Failing fast, swallowing parts or refusing them must not make a replica look idle:
+                // the attempt keeps counting for a while, and a long wait is held against its pace.
+                // Also covers a server that fails one class only. Hurts where errors are harmless.
+                _ => {
+                    replica.ghosts.push(self.now + GHOST);
+                    (replica.pace, replica.pace_at) = (pace.max(seen), self.now);
                 }
-            }
-            let slot = &mut self.slots[flight.slot];
-            if outcome == Outcome::Ok {
-                slot.ring.push_back((self.now, took));
-                let class = &self.set.classes[flight.slot / 2];
-                let steps = if class.second_step > 0 { 2.0 } else { 1.0 };
-                self.flow.add(self.now, FLOW_HALF, class.aim.0 as f64 / steps);
-            }
-            if slot.ring.len() > RING {
-                slot.ring.pop_front();
             }
         }
-        let place = self.parts.get(&part).copied();
-        let Some((query, index)) = place.and_then(|(n, i)| Some((self.queries.get_mut(&n)?, i))) else {
-            return;
-        };
-        let part = &mut query.parts[index];
-        if let Some(known) = part.attempts.get_mut(attempt as usize) {
-            known.open = false;
-            known.never_ran = never_ran;
-            part.done |= outcome == Outcome::Ok;
+        if outcome == Outcome::Ok {
+            let class = &self.set.classes[flight.slot / 2];
+            let steps = if class.second_step > 0 { 2.0 } else { 1.0 };
+            self.flow.add(self.now, FLOW_HALF, class.aim.over(SECOND) / steps);
+            let ring = &mut self.slots[flight.slot].ring;
+            ring.push_back((self.now, took));
+            if ring.len() > RING {
+                ring.pop_front();
+            }
         }
+        let Some(query) = self.queries.get_mut(&flight.query) else { return };
+        let part = &mut query.parts[flight.index];
+        part.done |= outcome == Outcome::Ok;
+        part.attempts[attempt as usize].open = false;
+        part.attempts[attempt as usize].never_ran = never_ran;
     }
 
     // ---- judging replicas ----
@@ -442,7 +412,7 @@
         let mut paces: BTreeMap<ReplicaId, f64> = BTreeMap::new();
         for (id, replica) in self.replicas.iter_mut().filter(|(_, r)| r.lifecycle == Lifecycle::On) {
             replica.ghosts.retain(|until| *until > now);
-            paces.insert(*id, 1.0 + (replica.pace - 1.0) * fade(now - replica.pace_at, PACE_HALF));
+            paces.insert(*id, replica.pace_now(now));
         }
         for flight in self.flights.values().filter(|flight| !flight.cancelled) {
             let Some(replica) = self.replicas.get(&flight.replica) else { continue };
@@ -468,12 +438,15 @@
         }
     }
 
+    /// Where the list must be asked for, a watch stands from the start on and is renewed when it fails, or
+    /// when the call for it was never answered: without one, old news would soon count as told.
     fn watch_list(&mut self, actions: &mut Vec<Action>) {
-        if !self.set.must_ask || self.now < self.ask_at || self.asked.is_some() {
-            return;
+        let unanswered = self.asked.is_some_and(|at| self.now - at > self.set.rules.ask_within.times(0.5));
+        if self.set.must_ask && self.now >= self.ask_at && (self.asked.is_none() || unanswered && !self.told)
+        {
+            (self.asked, self.told) = (Some(self.now), false);
+            actions.push(Action::WatchList);
         }
-        self.asked = Some(self.now);
-        actions.push(Action::WatchList);
     }
 
     // ---- admission ----
@@ -483,7 +456,8 @@
     /// latency wished is what can be out in good time (Little). Answers any surge, lost capacity or
     /// slowdown of everything at once; hurts when a few slow replicas make up the quantile.
     fn set_limit(&mut self, actions: &mut Vec<Action>) {
-        let mut strain = STRAIN_FROM * self.parts.len() as f64 / f64::from(self.set.limits.held.max(1));
+        let held = self.queries.values().map(|query| query.parts.len() + 1).sum::<usize>();
+        let mut strain = STRAIN_FROM * held as f64 / f64::from(self.set.limits.held.max(1));
         for (class, settings) in self.set.classes.iter().enumerate() {
             let first = self.slots[class * 2].recent.unwrap_or_default();
             let second = self.slots[class * 2 + 1].recent.unwrap_or_default();
@@ -495,7 +469,7 @@
             actions.push(Action::Remark(format!("shedding {word}, strain {strain:.2}")));
         }
         let least = LEAST_LIMIT * self.replicas.len() as f64;
-        let flow = self.flow.read(self.now, FLOW_HALF) * std::f64::consts::LN_2 / FLOW_HALF.0 as f64;
+        let flow = self.flow.per_second(self.now, FLOW_HALF);
         self.limit = strained.then_some((flow * LIMIT_SHARE).max(least));
     }
 
@@ -513,10 +487,8 @@
         if let Some(tenant) = query.tenant {
             let counter = &mut self.tenants[tenant];
             counter.add(self.now, HALF_LIFE, 1.0);
-            let rate = counter.read(self.now, HALF_LIFE) * std::f64::consts::LN_2
-                / HALF_LIFE.over(Micros(1_000_000));
             let quota = self.set.tenants[tenant].quota_per_s / f64::from(self.set.fleet_size.max(1));
-            if rate > quota * 1.3 {
+            if counter.per_second(self.now, HALF_LIFE) > quota * OVER_QUOTA {
                 worth *= self.set.over_quota_worth;
             }
         }
@@ -552,19 +524,20 @@
     /// if, under strain, what it still earns is less than what another query earns with the same work.
     fn stop_at(&self, query: &Query) -> Micros {
         let margin = self.set.tick.times(2.0);
-        let least = if self.limit.is_some() { 0.5 } else { 0.0 };
-        let late = self.set.classes[query.class].late_worth > least;
+        let class = &self.set.classes[query.class];
+        // A partial answer in time counts as what waiting has to beat, where one may be given.
+        let partial = if class.floor < class.need { class.partial * class.floor / class.need } else { 0.0 };
+        let late = class.late_worth > partial.max(if self.limit.is_some() { WORTH_WAITING } else { 0.0 });
         (if late { query.end_at } else { query.end_at.min(query.aim_at) }) - margin
     }
 
-    fn advance(&mut self, mut query: Query, actions: &mut Vec<Action>) -> Option<Query> {
-        if !query.admitted {
-            if !self.admit(&query) {
-                self.give_up(&query, actions);
-                return None;
-            }
-            query.admitted = true;
+    /// Takes a query as far as it goes now; false once it has its final answer.
+    fn advance(&mut self, number: u64, query: &mut Query, actions: &mut Vec<Action>) -> bool {
+        if !query.admitted && !self.admit(query) {
+            self.give_up(query, actions);
+            return false;
         }
+        query.admitted = true;
         let class = &self.set.classes[query.class];
         let need = if query.step == 1 { class.need } else { 1.0 };
         let mine = query.parts.iter().filter(|part| part.step == query.step);
@@ -572,65 +545,53 @@
         let all_in = mine.clone().count() > 0 && mine.clone().all(|part| part.done);
         if landed > need - EPS && (need < 1.0 || all_in) {
             actions.push(Action::Answer { query: query.id, whole: true });
-            if query.step == 1 && class.second_step > 0 {
-                self.cancel_open(&query, false, actions);
-                query.step = 2; // its parts come with the next batch
-                return Some(query);
-            }
-            self.forget(&query, actions);
-            return None;
+            self.cancel_open(query, false, actions);
+            query.step += 1; // the parts of a second step come with the next batch
+            return query.step == 2 && self.set.classes[query.class].second_step > 0;
         }
-        if self.now >= self.stop_at(&query) {
-            self.give_up(&query, actions);
-            return None;
+        if self.now >= self.stop_at(query) {
+            self.give_up(query, actions);
+            return false;
         }
-        self.cancel_open(&query, true, actions);
-        self.dispatch(&mut query, need, actions);
-        Some(query)
+        self.cancel_open(query, true, actions);
+        self.dispatch(number, query, need, actions);
+        true
     }
 
     /// Sends what the query lacks: parts not sent yet first, lowest score first; then parts whose attempts
     /// have all failed; then copies of overdue ones. So an overdue part of an n-of-k class is answered by
     /// an unsent part before a copy. Then, where any n parts do, one extra while extras are few.
-    fn dispatch(&mut self, query: &mut Query, need: f64, actions: &mut Vec<Action>) {
+    fn dispatch(&mut self, number: u64, query: &mut Query, need: f64, actions: &mut Vec<Action>) {
+        // In a surge extras would be served before their cancellation arrives: none while shedding.
+        let most = EXTRA_SHARE * self.sent.read(self.now, HALF_LIFE);
+        let few = self.extras.read(self.now, HALF_LIFE) + 1.0 <= most && self.limit.is_none();
+        let mut extra_due = few && !query.extra_asked && query.step == 1 && need < 1.0;
+        query.extra_asked = true;
         loop {
             let mut live = 0.0;
-            let mut best: Option<(u8, f64, f64, usize, ReplicaId)> = None;
-            for (index, part) in query.parts.iter().enumerate() {
-                if part.step != query.step {
-                    continue;
-                }
+            let mut best: Option<((u8, f64, f64), usize, ReplicaId)> = None;
+            for (index, part) in query.parts.iter().enumerate().filter(|(_, part)| part.step == query.step) {
                 let open = (0..).zip(&part.attempts).filter(|(_, attempt)| attempt.open);
-                let flights = || open.clone().filter_map(|(n, _)| self.flights.get(&(part.id, n)));
-                if part.done || flights().any(|flight| !self.overdue(flight)) {
+                let mut flights = open.filter_map(|(n, _)| self.flights.get(&(part.id, n))).peekable();
+                let kind = if part.attempts.is_empty() { 0 } else { 1 + u8::from(flights.peek().is_some()) };
+                if part.done || flights.any(|flight| !self.overdue(flight)) {
                     live += part.weight;
-                    continue;
-                }
-                let kind =
-                    if part.attempts.is_empty() { 0 } else { 1 + u8::from(flights().next().is_some()) };
-                let choice = self.choose(query, part);
-                if let Some((replica, score, tie)) = choice {
-                    let mine = (kind, score, tie, index, replica);
-                    if best.is_none_or(|best| (mine.0, mine.1, mine.2) < (best.0, best.1, best.2)) {
-                        best = Some(mine);
+                } else if let Some((replica, load, tie)) = self.choose(query, part) {
+                    if best.is_none_or(|best| (kind, load, tie) < best.0) {
+                        best = Some(((kind, load, tie), index, replica));
                     }
                 }
             }
-            let Some((_, _, _, index, replica)) = best.filter(|_| live < need - EPS) else { break };
-            self.send(query, index, replica, actions);
-        }
-        if !query.extra_asked && query.step == 1 && need < 1.0 {
-            query.extra_asked = true;
-            // In a surge extras would be served before their cancellation arrives: none while shedding.
-            let few = self.ledger.extras.read(self.now, HALF_LIFE) + 1.0
-                <= EXTRA_SHARE * self.ledger.sent.read(self.now, HALF_LIFE);
-            let unsent = query.parts.iter().enumerate().filter(|(_, part)| part.attempts.is_empty());
-            let choices = unsent.filter_map(|(index, part)| Some((index, self.choose(query, part)?)));
-            let best = choices.min_by(|(_, a), (_, b)| (a.1, a.2).partial_cmp(&(b.1, b.2)).unwrap());
-            if let Some((index, (replica, _, _))) = best.filter(|_| few && self.limit.is_none()) {
-                self.ledger.extras.add(self.now, HALF_LIFE, 1.0);
-                self.send(query, index, replica, actions);
+            let lacking = live < need - EPS;
+            let Some(((kind, _, _), index, replica)) = best.filter(|_| lacking || extra_due) else { break };
+            if !lacking {
+                extra_due = false;
+                if kind > 0 {
+                    break;
+                }
+                self.extras.add(self.now, HALF_LIFE, 1.0);
             }
+            self.send(number, query, index, replica, actions);
         }
     }
 
@@ -649,17 +610,17 @@
 
     /// The best replica for a part among those the gate lets through, its load, and a draw for ties.
     fn choose(&self, query: &Query, part: &Part) -> Option<(ReplicaId, f64, f64)> {
-        let mut best: Option<(bool, f64, f64, ReplicaId)> = None;
+        let mut best: Option<((bool, f64, f64), ReplicaId)> = None;
         for id in self.holders(part.shard).filter(|id| self.may_send(query, part, *id)) {
             let tried = part.attempts.iter().any(|attempt| attempt.replica == id);
             // Ties fall at random: a hash of the seed, the part and the replica, fixed for the attempt.
             let tie = mix(self.rng ^ (u64::from(part.id) << 32) ^ u64::from(id));
-            let mine = (tried, self.load(&self.replicas[&id]), tie, id);
-            if best.is_none_or(|best| (mine.0, mine.1, mine.2) < (best.0, best.1, best.2)) {
-                best = Some(mine);
+            let mine = (tried, self.load(&self.replicas[&id]), tie);
+            if best.is_none_or(|best| mine < best.0) {
+                best = Some((mine, id));
             }
         }
-        best.map(|(_, load, tie, id)| (id, load, tie))
+        best.map(|((_, load, tie), id)| (id, load, tie))
     }
 
     // ---- the gates ----
@@ -687,21 +648,18 @@
         };
         let open = part.attempts.iter().any(|attempt| attempt.open);
         let here = part.attempts.iter().any(|attempt| attempt.open && attempt.replica == id);
-        let storm = self.ledger.copies.read(self.now, HALF_LIFE) + 1.0
-            > COPY_FLOOR + COPY_SHARE * self.ledger.sent.read(self.now, HALF_LIFE);
-        repeatable
-            && !here
-            && !storm
-            && (!open || self.set.limits.may_duplicate)
-            && self.within_retry_budget()
+        let most = COPY_FLOOR + COPY_SHARE * self.sent.read(self.now, HALF_LIFE);
+        let storm = self.copies.read(self.now, HALF_LIFE) + 1.0 > most;
+        let doubled = open && (here || !self.set.limits.may_duplicate);
+        repeatable && !storm && !doubled && self.within_retry_budget()
     }
 
     fn within_retry_budget(&self) -> bool {
         let Some(budget) = self.set.rules.retry_budget else { return true };
         let since = self.now - budget.window;
         // The bounds lean to the careful side by a tick at either end of the window.
-        let used = self.ledger.further.iter().filter(|at| **at >= since - self.set.tick).count() as f64;
-        let taken = self.ledger.taken.iter().filter(|at| **at > since + self.set.tick).count() as f64;
+        let used = self.further.iter().filter(|at| **at >= since - self.set.tick).count() as f64;
+        let taken = self.taken.iter().filter(|at| **at > since + self.set.tick).count() as f64;
         used + 1.0 <= budget.floor + budget.share * taken
     }
 
@@ -727,7 +685,7 @@
         let share = COLD_MARGIN / f64::from(self.set.fleet_size.max(1));
         let rate = share * rules.tip_multiple * warmth * replica.size.min(1.0);
         let budget = rate * rules.fall.0 as f64;
-        let work = self.cost(slot).map_or(budget, |work| work.0 as f64);
+        let work = self.slots[slot].work.map_or(budget, |work| work.0 as f64);
         let spent: f64 =
             replica.recent.iter().filter(|(at, _)| self.now - *at <= rules.fall).map(|(_, work)| work).sum();
         let last = replica.last_sent.unwrap_or(started).max(started).max(self.born);
@@ -735,60 +693,50 @@
         spent + work <= budget || (work > budget && spaced)
     }
 
-    fn cost(&self, slot: usize) -> Option<Micros> {
-        self.slots[slot].work.or_else(|| self.slots[slot / 2 * 2].work)
-    }
-
     // ---- sending and ending ----
 
     /// The only place from which an attempt goes out.
-    fn send(&mut self, query: &mut Query, index: usize, id: ReplicaId, actions: &mut Vec<Action>) {
+    fn send(
+        &mut self,
+        number: u64,
+        query: &mut Query,
+        index: usize,
+        id: ReplicaId,
+        actions: &mut Vec<Action>,
+    ) {
         if !self.may_send(query, &query.parts[index], id) {
             return;
         }
         let stop = self.stop_at(query);
         let slot = query.class * 2 + usize::from(query.step - 1);
         let (now, round, fall) = (self.now, self.round, self.set.rules.fall);
-        let work = self.cost(slot).map_or(fall.0 as f64, |work| work.0 as f64);
+        let work = self.slots[slot].work.map_or(fall.0 as f64, |work| work.0 as f64);
         // Where an attempt can't be doubled or cancelled, its time-out must free the part for the next.
         let limits = &self.set.limits;
         let patience = self.overdue_after(slot).times(2.0);
         let alone = !limits.may_duplicate || !limits.cancel;
         let timeout = if alone { patience.min(stop - now) } else { stop - now };
         let Some(replica) = self.replicas.get_mut(&id) else { return };
-        let (in_round, call, parts) = replica.call;
-        if in_round == round && parts < limits.batch && parts > 0 {
+        if replica.call.0 == round && replica.call.2 < limits.batch {
             replica.call.2 += 1;
         } else {
-            self.next_call += 1;
-            replica.call = (round, self.next_call, 1);
+            self.last_call += 1;
+            replica.call = (round, self.last_call, 1);
             replica.out += 1;
         }
-        let call = if replica.call.1 == call { call } else { replica.call.1 };
+        let call = replica.call.1;
         replica.recent.retain(|(at, _)| now - *at <= fall);
         replica.recent.push_back((now, work));
         replica.last_sent = Some(now);
-        *self.calls.entry(call).or_insert(0) += 1;
         let part = &mut query.parts[index];
-        let number = part.attempts.len() as u32;
+        let attempt = part.attempts.len() as u32;
         part.attempts.push(Attempt { replica: id, sent: now, open: true, never_ran: false });
-        self.flights
-            .insert((part.id, number), Flight { replica: id, sent: now, call, slot, cancelled: false });
-        self.ledger.sent.add(now, HALF_LIFE, 1.0);
-        if number > 0 {
-            self.ledger.copies.add(now, HALF_LIFE, 1.0);
-            self.ledger.further.push_back(now);
-        }
-        if let Some(window) = self.set.rules.retry_budget.map(|budget| budget.window.times(2.0)) {
-            while self.ledger.taken.front().is_some_and(|at| now - *at > window) {
-                self.ledger.taken.pop_front();
-            }
-            while self.ledger.further.front().is_some_and(|at| now - *at > window) {
-                self.ledger.further.pop_front();
-            }
-        } else {
-            self.ledger.taken.clear();
-            self.ledger.further.clear();
+        let flight = Flight { replica: id, sent: now, call, slot, cancelled: false, query: number, index };
+        self.flights.insert((part.id, attempt), flight);
+        self.sent.add(now, HALF_LIFE, 1.0);
+        if attempt > 0 {
+            self.copies.add(now, HALF_LIFE, 1.0);
+            self.further.push_back(now);
         }
         self.random();
         actions.push(Action::Attempt { part: part.id, replica: id, timeout });
@@ -810,14 +758,6 @@
         }
     }
 
-    fn forget(&mut self, query: &Query, actions: &mut Vec<Action>) {
-        self.cancel_open(query, false, actions);
-        self.numbers.remove(&query.id);
-        for part in &query.parts {
-            self.parts.remove(&part.id);
-        }
-    }
-
     /// The final answer without a whole one: in part if the class allows it and enough is in, a refusal
     /// where trying again does no harm, else a failure.
     fn give_up(&mut self, query: &Query, actions: &mut Vec<Action>) {
@@ -827,11 +767,10 @@
         let last_step = query.step == 2 || class.second_step == 0;
         let partial = class.floor < class.need && last_step && landed > class.floor - EPS;
         let mut attempts = query.parts.iter().flat_map(|part| &part.attempts);
-        let harmless =
-            class.effect == Effect::Safe || attempts.all(|attempt| !attempt.open && attempt.never_ran);
-        let limits = &self.set.limits;
+        let unseen = attempts.all(|attempt| !attempt.open && attempt.never_ran);
+        let harmless = class.effect == Effect::Safe || unseen;
+        let (id, limits) = (query.id, &self.set.limits);
         let wait = limits.retry_after.then_some(limits.max_retry_after);
-        let id = query.id;
         if partial && landed > 0.0 {
             actions.push(Action::Answer { query: id, whole: false });
         } else if harmless {
@@ -840,6 +779,6 @@
         } else {
             actions.push(Action::Fail { query: id });
         }
-        self.forget(query, actions);
+        self.cancel_open(query, false, actions);
     }
 }
