--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod interface;
 mod logic;
+mod sums;
 
 pub use logic::FrontNode;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,9 +1,10 @@
-//! Interface: src/interface.rs (settings, events, actions).
+//! Interface: src/interface.rs (settings, events).
 //!
 //! Every decision of the front node is in this file. Order: tuned values, state, absorbing a batch of
 //! events, judging replicas, admission, one query's life, the gates, sending, ending.
 
 use crate::interface::*;
+use crate::sums::{fade, mix, quantile, Fading, Random};
 use std::collections::{BTreeMap, VecDeque};
 
 // Tuned values. None comes from a deployment; each is a ratio, or a span against which ratios settle.
@@ -57,6 +58,7 @@
 #[derive(Default)]
 struct Query {
     id: Id,
+    number: u64,
     class: usize,
     tenant: Option<usize>,
     aim_at: Micros,
@@ -113,49 +115,16 @@
     work: Option<Micros>,   // what a part costs a replica that is not crowded
 }
 
-/// A count in which the past fades.
-#[derive(Clone, Copy, Default)]
-struct Fading(f64, Micros);
-
-impl Fading {
-    fn read(&self, now: Micros, half: Micros) -> f64 {
-        self.0 * fade(now - self.1, half)
-    }
-    fn add(&mut self, now: Micros, half: Micros, amount: f64) {
-        *self = Fading(self.read(now, half) + amount, now);
-    }
-    fn per_second(&self, now: Micros, half: Micros) -> f64 {
-        self.read(now, half) * std::f64::consts::LN_2 / half.over(SECOND)
-    }
-}
-
-fn fade(age: Micros, half: Micros) -> f64 {
-    0.5_f64.powf(age.over(half).max(0.0))
-}
-
-/// Scatters a number evenly over 0 to 1.
-fn mix(seed: u64) -> f64 {
-    let mut z = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
-}
-
-fn quantile(sorted: &[Micros], share: f64) -> Option<Micros> {
-    let last = sorted.len().checked_sub(1)?;
-    (sorted.len() >= LEAST_SAMPLES).then(|| sorted[(last as f64 * share) as usize])
-}
-
 /// The decisions of one front node.
 #[derive(Default)]
 pub struct FrontNode {
     set: Settings,
-    rng: u64,
+    rng: Random,
     now: Micros,
     born: Micros,
     round: u64,
     last_call: u64,
     replicas: BTreeMap<ReplicaId, Replica>,
-    cells: Vec<Vec<ReplicaId>>,
     queries: BTreeMap<u64, Query>,
     flights: BTreeMap<(Id, u32), Flight>,
     slots: Vec<Slot>,          // by class and step
@@ -174,6 +143,7 @@
     ask_at: Micros,
     ask_wait: Micros,
     wake_at: Option<Micros>,
+    actions: Vec<Action>, // decided in this batch
 }
 
 impl FrontNode {
@@ -181,10 +151,9 @@
     pub fn new(settings: Settings, seed: u64, now: Micros) -> FrontNode {
         let classes = settings.classes.len();
         let mut node = FrontNode {
-            rng: seed,
+            rng: Random(seed),
             now,
             born: now,
-            cells: vec![Vec::new(); settings.cells.max(1) as usize],
             slots: (0..classes * 2).map(|_| Slot::default()).collect(),
             longest_try: vec![Micros(0); classes],
             tenants: vec![Fading::default(); settings.tenants.len()],
@@ -194,7 +163,7 @@
         };
         // Front nodes often restart together; the list service should not meet them all at once.
         let spread = ASK_WAIT.times(0.25 * f64::from(node.set.fleet_size));
-        node.ask_at = now + spread.min(node.set.rules.ask_within.times(0.25)).times(node.random());
+        node.ask_at = now + spread.min(node.set.rules.ask_within.times(0.25)).times(node.rng.next());
         node
     }
 
@@ -203,33 +172,29 @@
         self.now = now;
         self.round += 1;
         for event in events {
-            self.absorb(event, actions);
+            self.absorb(event);
         }
-        self.judge(actions);
-        self.watch_list(actions);
-        self.set_limit(actions);
+        self.judge();
+        self.watch_list();
+        self.set_limit();
         let open: Vec<u64> = self.queries.keys().copied().collect();
         for number in open {
             let Some(mut query) = self.queries.remove(&number) else { continue };
-            if self.advance(number, &mut query, actions) {
+            if self.advance(&mut query) {
                 self.queries.insert(number, query);
             }
         }
         let waiting = self.set.must_ask && !self.told;
         if (waiting || !self.queries.is_empty()) && self.wake_at.is_none() {
             self.wake_at = Some(now + SWEEP);
-            actions.push(Action::Timer(SWEEP));
+            self.actions.push(Action::Timer(SWEEP));
         }
-    }
-
-    fn random(&mut self) -> f64 {
-        self.rng = self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        mix(self.rng)
+        actions.append(&mut self.actions);
     }
 
     // ---- absorbing events ----
 
-    fn absorb(&mut self, event: &Event, actions: &mut Vec<Action>) {
+    fn absorb(&mut self, event: &Event) {
         match event {
             Event::List { replicas, stored } => {
                 let named: Vec<ReplicaId> = replicas.iter().map(|line| line.replica).collect();
@@ -238,20 +203,20 @@
                         replica.lifecycle = Lifecycle::Gone;
                     }
                 }
-                self.take_lines(replicas, !*stored, actions);
+                self.take_lines(replicas, !*stored);
             }
-            Event::ListChanges(lines) => self.take_lines(lines, true, actions),
+            Event::ListChanges(lines) => self.take_lines(lines, true),
             Event::ListFailed => {
                 // The wait doubles and is drawn at random, so that a crowd of front nodes thins out.
                 self.asked = None;
-                self.ask_at = self.now + self.ask_wait.times(0.5 + self.random());
+                self.ask_at = self.now + self.ask_wait.times(0.5 + self.rng.next());
                 self.ask_wait = self.ask_wait.times(2.0).min(self.set.rules.ask_within.times(0.25));
-                actions.push(Action::Remark("list lost, asking again".into()));
+                self.actions.push(Action::Remark("list lost, asking again".into()));
             }
             Event::Query { id, number, class, tenant, expires_in, hint } => {
                 self.take();
                 let Some(settings) = self.set.classes.get(*class) else {
-                    actions.push(Action::Refuse { query: *id, retry_after: None }); // nothing of it ran
+                    self.actions.push(Action::Refuse { query: *id, retry_after: None }); // nothing of it ran
                     return;
                 };
                 // A try shorter than the longest seen was cut by the client's deadline: that tells how
@@ -262,13 +227,13 @@
                 let waited = if cut { settings.deadline - *expires_in } else { Micros(0) };
                 let stretch = hint.unwrap_or_default().times(settings.aim_stretch);
                 let aim = (settings.aim + stretch).min(settings.deadline) - waited;
+                let (id, number, class, tenant) = (*id, *number, *class, *tenant);
                 let (aim_at, end_at) = (self.now + aim, self.now + *expires_in);
-                let (id, class, tenant) = (*id, *class, *tenant);
-                let query = Query { id, class, tenant, aim_at, end_at, step: 1, ..Query::default() };
+                let query = Query { id, number, class, tenant, aim_at, end_at, step: 1, ..Query::default() };
                 // The final answer has a timer of its own, whatever else waits.
                 let left = self.stop_at(&query) - self.now;
-                actions.push(Action::Timer(left.max(Micros(0))));
-                self.queries.insert(*number, query);
+                self.actions.push(Action::Timer(left.max(Micros(0))));
+                self.queries.insert(number, query);
             }
             Event::Part { id, number, shard, weight, hint: _ } => {
                 self.take();
@@ -284,7 +249,7 @@
                 let number =
                     self.queries.iter().find(|(_, query)| query.id == *id).map(|(number, _)| *number);
                 if let Some(query) = number.and_then(|number| self.queries.remove(&number)) {
-                    self.cancel_open(&query, false, actions);
+                    self.cancel_open(&query, false);
                 }
             }
             Event::Timer => self.wake_at = self.wake_at.filter(|at| *at > self.now),
@@ -301,9 +266,9 @@
         }
     }
 
-    fn take_lines(&mut self, lines: &[Listed], news: bool, actions: &mut Vec<Action>) {
+    fn take_lines(&mut self, lines: &[Listed], news: bool) {
         if news && self.ask_wait > ASK_WAIT {
-            actions.push(Action::Remark("list regained".into()));
+            self.actions.push(Action::Remark("list regained".into()));
         }
         if news {
             (self.told, self.ask_wait) = (true, ASK_WAIT);
@@ -321,11 +286,6 @@
             }
             (replica.cell, replica.size, replica.lifecycle) = (line.cell, line.size, line.lifecycle);
         }
-        self.cells = vec![Vec::new(); self.set.cells.max(1) as usize];
-        let cells = self.cells.len();
-        for (id, replica) in &self.replicas {
-            self.cells[replica.cell as usize % cells].push(*id);
-        }
     }
 
     fn attempt_ended(&mut self, part: Id, attempt: u32, outcome: Outcome, took: Micros) {
@@ -396,18 +356,18 @@
     /// Sets each replica's factor: its pace against the median of all. Guards against servers that are
     /// slow, hang, stall or fall silent: the longer the oldest attempt waits with no answer to anything,
     /// the more the replica counts for. Everything slow at once moves the median and condemns nobody.
-    fn judge(&mut self, actions: &mut Vec<Action>) {
+    fn judge(&mut self) {
         let now = self.now;
         for slot in &mut self.slots {
+            let mut fresh: Vec<Micros> = Vec::new();
             let mut all: Vec<Micros> = slot.ring.iter().map(|(_, took)| *took).collect();
+            fresh.extend(slot.ring.iter().filter(|(at, _)| now - *at < STRAIN_WINDOW).map(|(_, took)| *took));
             all.sort();
-            slot.typical = quantile(&all, 0.5);
-            slot.late = quantile(&all, 0.95);
-            slot.work = quantile(&all, 0.25);
-            let fresh = slot.ring.iter().filter(|(at, _)| now - *at < STRAIN_WINDOW);
-            let mut fresh: Vec<Micros> = fresh.map(|(_, took)| *took).collect();
             fresh.sort();
-            slot.recent = quantile(&fresh, 0.8);
+            let mark =
+                |sorted: &[Micros], share| quantile(sorted, share).filter(|_| sorted.len() >= LEAST_SAMPLES);
+            [slot.work, slot.typical, slot.late] = [0.25, 0.5, 0.95].map(|share| mark(&all, share));
+            slot.recent = mark(&fresh, 0.8);
         }
         let mut paces: BTreeMap<ReplicaId, f64> = BTreeMap::new();
         for (id, replica) in self.replicas.iter_mut().filter(|(_, r)| r.lifecycle == Lifecycle::On) {
@@ -433,19 +393,20 @@
             if replica.condemned != (ratio >= if replica.condemned { SLOW_FROM } else { CONDEMNED }) {
                 replica.condemned = !replica.condemned;
                 let word = if replica.condemned { "condemned" } else { "readmitted" };
-                actions.push(Action::Remark(format!("replica {id} {word}, pace {ratio:.1} of its peers")));
+                self.actions
+                    .push(Action::Remark(format!("replica {id} {word}, pace {ratio:.1} of its peers")));
             }
         }
     }
 
     /// Where the list must be asked for, a watch stands from the start on and is renewed when it fails, or
     /// when the call for it was never answered: without one, old news would soon count as told.
-    fn watch_list(&mut self, actions: &mut Vec<Action>) {
+    fn watch_list(&mut self) {
         let unanswered = self.asked.is_some_and(|at| self.now - at > self.set.rules.ask_within.times(0.5));
         if self.set.must_ask && self.now >= self.ask_at && (self.asked.is_none() || unanswered && !self.told)
         {
             (self.asked, self.told) = (Some(self.now), false);
-            actions.push(Action::WatchList);
+            self.actions.push(Action::WatchList);
         }
     }
 
@@ -455,7 +416,7 @@
     /// full this front node is. Under strain answers come at the rate that can be had, and rate times the
     /// latency wished is what can be out in good time (Little). Answers any surge, lost capacity or
     /// slowdown of everything at once; hurts when a few slow replicas make up the quantile.
-    fn set_limit(&mut self, actions: &mut Vec<Action>) {
+    fn set_limit(&mut self) {
         let held = self.queries.values().map(|query| query.parts.len() + 1).sum::<usize>();
         let mut strain = STRAIN_FROM * held as f64 / f64::from(self.set.limits.held.max(1));
         for (class, settings) in self.set.classes.iter().enumerate() {
@@ -466,7 +427,7 @@
         let strained = strain > if self.limit.is_some() { STRAIN_OVER } else { STRAIN_FROM };
         if strained != self.limit.is_some() {
             let word = if strained { "begun" } else { "ended" };
-            actions.push(Action::Remark(format!("shedding {word}, strain {strain:.2}")));
+            self.actions.push(Action::Remark(format!("shedding {word}, strain {strain:.2}")));
         }
         let least = LEAST_LIMIT * self.replicas.len() as f64;
         let flow = self.flow.per_second(self.now, FLOW_HALF);
@@ -497,7 +458,7 @@
 
     fn admit(&mut self, query: &Query) -> bool {
         // A little chance is mixed in, so that classes of like worth are declined alike.
-        let density = self.density(query) * (0.5 + self.random());
+        let density = self.density(query) * (0.5 + self.rng.next());
         let below = self.densities.iter().filter(|other| **other < density).count();
         let rank = below as f64 / self.densities.len().max(1) as f64;
         self.densities.push_back(density);
@@ -509,7 +470,7 @@
         // A query whose shards are down by the list's own word can't be answered; with no list it waits.
         let listed = self.replicas.values().any(|replica| replica.lifecycle == Lifecycle::On);
         let up =
-            |part: &&Part| self.holders(part.shard).any(|id| self.replicas[&id].lifecycle == Lifecycle::On);
+            |part: &&Part| self.holders(part.shard).any(|(_, replica)| replica.lifecycle == Lifecycle::On);
         let reach: f64 = query.parts.iter().filter(up).map(|part| part.weight).sum();
         let parts = query.parts.len() as f64 * class.need;
         let room = self.limit.is_none_or(|limit| {
@@ -532,9 +493,9 @@
     }
 
     /// Takes a query as far as it goes now; false once it has its final answer.
-    fn advance(&mut self, number: u64, query: &mut Query, actions: &mut Vec<Action>) -> bool {
+    fn advance(&mut self, query: &mut Query) -> bool {
         if !query.admitted && !self.admit(query) {
-            self.give_up(query, actions);
+            self.give_up(query);
             return false;
         }
         query.admitted = true;
@@ -544,24 +505,24 @@
         let landed: f64 = mine.clone().filter(|part| part.done).map(|part| part.weight).sum();
         let all_in = mine.clone().count() > 0 && mine.clone().all(|part| part.done);
         if landed > need - EPS && (need < 1.0 || all_in) {
-            actions.push(Action::Answer { query: query.id, whole: true });
-            self.cancel_open(query, false, actions);
+            self.actions.push(Action::Answer { query: query.id, whole: true });
+            self.cancel_open(query, false);
             query.step += 1; // the parts of a second step come with the next batch
             return query.step == 2 && self.set.classes[query.class].second_step > 0;
         }
         if self.now >= self.stop_at(query) {
-            self.give_up(query, actions);
+            self.give_up(query);
             return false;
         }
-        self.cancel_open(query, true, actions);
-        self.dispatch(number, query, need, actions);
+        self.cancel_open(query, true);
+        self.dispatch(query, need);
         true
     }
 
     /// Sends what the query lacks: parts not sent yet first, lowest score first; then parts whose attempts
     /// have all failed; then copies of overdue ones. So an overdue part of an n-of-k class is answered by
     /// an unsent part before a copy. Then, where any n parts do, one extra while extras are few.
-    fn dispatch(&mut self, number: u64, query: &mut Query, need: f64, actions: &mut Vec<Action>) {
+    fn dispatch(&mut self, query: &mut Query, need: f64) {
         // In a surge extras would be served before their cancellation arrives: none while shedding.
         let most = EXTRA_SHARE * self.sent.read(self.now, HALF_LIFE);
         let few = self.extras.read(self.now, HALF_LIFE) + 1.0 <= most && self.limit.is_none();
@@ -591,14 +552,14 @@
                 }
                 self.extras.add(self.now, HALF_LIFE, 1.0);
             }
-            self.send(number, query, index, replica, actions);
+            self.send(query, index, replica);
         }
     }
 
-    fn holders(&self, shard: u32) -> impl Iterator<Item = ReplicaId> + '_ {
-        let cells = self.cells.len() as u32;
-        let span = self.set.span.min(cells);
-        (0..span).flat_map(move |j| self.cells[(shard.wrapping_add(j) % cells) as usize].iter().copied())
+    fn holders(&self, shard: u32) -> impl Iterator<Item = (&ReplicaId, &Replica)> {
+        let (cells, span) = (self.set.cells.max(1), self.set.span);
+        let holds = move |cell: u32| (cell % cells + cells - shard % cells) % cells < span;
+        self.replicas.iter().filter(move |(_, replica)| holds(replica.cell))
     }
 
     /// The count by which replicas are compared: our parts out, failed ones that still count, and the part
@@ -611,13 +572,13 @@
     /// The best replica for a part among those the gate lets through, its load, and a draw for ties.
     fn choose(&self, query: &Query, part: &Part) -> Option<(ReplicaId, f64, f64)> {
         let mut best: Option<((bool, f64, f64), ReplicaId)> = None;
-        for id in self.holders(part.shard).filter(|id| self.may_send(query, part, *id)) {
-            let tried = part.attempts.iter().any(|attempt| attempt.replica == id);
+        for (id, replica) in self.holders(part.shard).filter(|(id, _)| self.may_send(query, part, **id)) {
+            let tried = part.attempts.iter().any(|attempt| attempt.replica == *id);
             // Ties fall at random: a hash of the seed, the part and the replica, fixed for the attempt.
-            let tie = mix(self.rng ^ (u64::from(part.id) << 32) ^ u64::from(id));
-            let mine = (tried, self.load(&self.replicas[&id]), tie);
+            let tie = mix(self.rng.0 ^ (u64::from(part.id) << 32) ^ u64::from(*id));
+            let mine = (tried, self.load(replica), tie);
             if best.is_none_or(|best| mine < best.0) {
-                best = Some((mine, id));
+                best = Some((mine, *id));
             }
         }
         best.map(|((_, load, tie), id)| (id, load, tie))
@@ -696,14 +657,7 @@
     // ---- sending and ending ----
 
     /// The only place from which an attempt goes out.
-    fn send(
-        &mut self,
-        number: u64,
-        query: &mut Query,
-        index: usize,
-        id: ReplicaId,
-        actions: &mut Vec<Action>,
-    ) {
+    fn send(&mut self, query: &mut Query, index: usize, id: ReplicaId) {
         if !self.may_send(query, &query.parts[index], id) {
             return;
         }
@@ -731,19 +685,20 @@
         let part = &mut query.parts[index];
         let attempt = part.attempts.len() as u32;
         part.attempts.push(Attempt { replica: id, sent: now, open: true, never_ran: false });
-        let flight = Flight { replica: id, sent: now, call, slot, cancelled: false, query: number, index };
+        let flight =
+            Flight { replica: id, sent: now, call, slot, cancelled: false, query: query.number, index };
         self.flights.insert((part.id, attempt), flight);
         self.sent.add(now, HALF_LIFE, 1.0);
         if attempt > 0 {
             self.copies.add(now, HALF_LIFE, 1.0);
             self.further.push_back(now);
         }
-        self.random();
-        actions.push(Action::Attempt { part: part.id, replica: id, timeout });
+        self.rng.next();
+        self.actions.push(Action::Attempt { part: part.id, replica: id, timeout });
     }
 
     /// Cancels what is still out: of every part, or only of those whose answer is in.
-    fn cancel_open(&mut self, query: &Query, only_done: bool, actions: &mut Vec<Action>) {
+    fn cancel_open(&mut self, query: &Query, only_done: bool) {
         for part in query.parts.iter().filter(|part| part.done || !only_done) {
             for (number, attempt) in (0..).zip(&part.attempts) {
                 let flight = self.flights.get_mut(&(part.id, number));
@@ -752,7 +707,7 @@
                 };
                 flight.cancelled = true;
                 if self.set.limits.cancel {
-                    actions.push(Action::Cancel { part: part.id, attempt: number });
+                    self.actions.push(Action::Cancel { part: part.id, attempt: number });
                 }
             }
         }
@@ -760,7 +715,7 @@
 
     /// The final answer without a whole one: in part if the class allows it and enough is in, a refusal
     /// where trying again does no harm, else a failure.
-    fn give_up(&mut self, query: &Query, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, query: &Query) {
         let class = &self.set.classes[query.class];
         let mine = query.parts.iter().filter(|part| part.step == query.step);
         let landed: f64 = mine.filter(|part| part.done).map(|part| part.weight).sum();
@@ -772,13 +727,13 @@
         let (id, limits) = (query.id, &self.set.limits);
         let wait = limits.retry_after.then_some(limits.max_retry_after);
         if partial && landed > 0.0 {
-            actions.push(Action::Answer { query: id, whole: false });
+            self.actions.push(Action::Answer { query: id, whole: false });
         } else if harmless {
-            let retry_after = wait.map(|most| most.times(0.5 + 0.5 * self.random()));
-            actions.push(Action::Refuse { query: id, retry_after });
+            let retry_after = wait.map(|most| most.times(0.5 + 0.5 * self.rng.next()));
+            self.actions.push(Action::Refuse { query: id, retry_after });
         } else {
-            actions.push(Action::Fail { query: id });
+            self.actions.push(Action::Fail { query: id });
         }
-        self.cancel_open(query, false, actions);
+        self.cancel_open(query, false);
     }
 }
