Decline at once what its remaining time can't hold

A swallowed share, a lost zone and a full queue were the rivals; the wire showed the unanswered ones to end after 0.19 s and 0.67 s, which is the time left to the aim of tries repeated late. They were admitted, could not be done and held the servers. May hurt where part times are very uneven.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,7 @@
 const LEAST_LIMIT: f64 = 2.0; // parts out for each replica that admission always allows
 const OVER_QUOTA: f64 = 1.3; // a tenant beyond this multiple of our share of its quota is over it
 const WORTH_WAITING: f64 = 0.5; // under strain, a lower late worth is not waited for
+const LEAST_TIME: f64 = 2.0; // a query takes this multiple of the typical part at least
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
@@ -466,7 +467,10 @@
             self.densities.pop_front();
         }
         let class = &self.set.classes[query.class];
-        let worthless = density <= 0.0;
+        // What can't be done in the time left is declined at once; mostly these are tries repeated late.
+        let second = if class.second_step > 0 { self.typical(query.class * 2 + 1) } else { Micros(0) };
+        let takes = (self.typical(query.class * 2).times(LEAST_TIME) + second).min(class.aim.times(0.5));
+        let worthless = density <= 0.0 || self.stop_at(query) - self.now < takes;
         // A query whose shards are down by the list's own word can't be answered; with no list it waits.
         let listed = self.replicas.values().any(|replica| replica.lifecycle == Lifecycle::On);
         let up =
