--- a/src/logic.rs
+++ b/src/logic.rs
@@ -17,7 +17,7 @@
 const ASK_WAIT: Micros = Micros(200_000); // first wait before the list is asked for again
 const RING: usize = 64; // latencies kept for each class and step
 const LEAST_SAMPLES: usize = 8; // fewer say nothing
-const LATE_RATIO: f64 = 2.5; // an attempt is never overdue before this multiple of the typical latency
+const LATE_RATIO: f64 = 4.0; // an attempt is never overdue before this multiple of the typical latency
 const SLOW_FROM: f64 = 2.0; // a replica this much slower than its peers counts for more
 const CONDEMNED: f64 = 4.0; // and from here on it is a last choice and logged
 const PACE_CAP: f64 = 40.0; // no observation makes a replica look slower than this
@@ -340,7 +340,7 @@
     }
 
     fn overdue_after(&self, slot: usize) -> Micros {
-        let least = self.typical(slot).times(LATE_RATIO);
+        let least = self.typical(slot).times(if self.limit.is_some() { 2.0 } else { 1.0 } * LATE_RATIO);
         self.slots[slot].late.map_or(least, |late| least.max(late.times(1.1)))
     }
 
