--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod interface;
 mod logic;
+mod state;
 mod sums;
 
 pub use logic::FrontNode;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 //! events, judging replicas, admission, one query's life, the gates, sending, ending.
 
 use crate::interface::*;
+use crate::state::{Attempt, Flight, Part, Query, Replica, Slot};
 use crate::sums::{fade, mix, quantile, Fading, Random};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -37,85 +38,6 @@
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
-/// One attempt of a part, as its query remembers it.
-#[derive(Clone)]
-struct Attempt {
-    replica: ReplicaId,
-    sent: Micros,
-    open: bool,
-    never_ran: bool,
-}
-
-#[derive(Default)]
-struct Part {
-    id: Id,
-    shard: u32,
-    weight: f64,
-    step: u8,
-    done: bool,
-    attempts: Vec<Attempt>,
-}
-
-#[derive(Default)]
-struct Query {
-    id: Id,
-    number: u64,
-    class: usize,
-    tenant: Option<usize>,
-    aim_at: Micros,
-    end_at: Micros,
-    admitted: bool,
-    extra_asked: bool,
-    step: u8,
-    parts: Vec<Part>,
-}
-
-/// An attempt that is out, as its replica remembers it; outlives the query.
-struct Flight {
-    replica: ReplicaId,
-    sent: Micros,
-    call: u64,
-    slot: usize,
-    cancelled: bool,
-    query: u64,   // number of the query
-    index: usize, // place of the part in it
-}
-
-#[derive(Default)]
-struct Replica {
-    cell: u32,
-    size: f64,
-    lifecycle: Lifecycle,
-    started: Option<Micros>,
-    out: u32,                        // our parts out: calls, where parts share a call
-    ghosts: Vec<Micros>,             // until when attempts that failed keep counting
-    pace: f64,                       // recent latency over the typical one
-    pace_at: Micros,                 // when that was last heard of
-    last_ok: Micros,                 // when it last answered anything
-    factor: f64,                     // pace against its peers, 1 unless far slower
-    condemned: bool,                 // as last logged
-    call: (u64, u64, u32),           // round, number and parts of the call being put together
-    recent: VecDeque<(Micros, f64)>, // work sent in the last `fall`
-    last_sent: Option<Micros>,
-}
-
-impl Replica {
-    /// The pace, which drifts back to 1 while nothing is heard.
-    fn pace_now(&self, now: Micros) -> f64 {
-        1.0 + (self.pace - 1.0) * fade(now - self.pace_at, PACE_HALF)
-    }
-}
-
-/// Latencies of one class and step.
-#[derive(Default)]
-struct Slot {
-    ring: VecDeque<(Micros, Micros)>, // when, how long
-    typical: Option<Micros>,
-    late: Option<Micros>,
-    recent: Option<Micros>, // an upper quantile of the last moments
-    work: Option<Micros>,   // what a part costs a replica that is not crowded
-}
-
 /// The decisions of one front node.
 #[derive(Default)]
 pub struct FrontNode {
@@ -199,10 +121,8 @@
         match event {
             Event::List { replicas, stored } => {
                 let named: Vec<ReplicaId> = replicas.iter().map(|line| line.replica).collect();
-                for (id, replica) in self.replicas.iter_mut() {
-                    if !named.contains(id) {
-                        replica.lifecycle = Lifecycle::Gone;
-                    }
+                for (_, replica) in self.replicas.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                    replica.lifecycle = Lifecycle::Gone;
                 }
                 self.take_lines(replicas, !*stored);
             }
@@ -244,12 +164,11 @@
                 }
             }
             Event::AttemptEnded { part, attempt, outcome, took } => {
-                self.attempt_ended(*part, *attempt, *outcome, *took);
+                self.ended(*part, *attempt, *outcome, *took)
             }
             Event::ClientGone(id) => {
-                let number =
-                    self.queries.iter().find(|(_, query)| query.id == *id).map(|(number, _)| *number);
-                if let Some(query) = number.and_then(|number| self.queries.remove(&number)) {
+                let gone = self.queries.values().find(|query| query.id == *id).map(|query| query.number);
+                if let Some(query) = gone.and_then(|number| self.queries.remove(&number)) {
                     self.cancel_open(&query, false);
                 }
             }
@@ -289,7 +208,7 @@
         }
     }
 
-    fn attempt_ended(&mut self, part: Id, attempt: u32, outcome: Outcome, took: Micros) {
+    fn ended(&mut self, part: Id, attempt: u32, outcome: Outcome, took: Micros) {
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         let Some(flight) = self.flights.remove(&(part, attempt)) else { return };
         let overdue = self.overdue(&flight);
@@ -297,7 +216,7 @@
         let seen = took.over(self.typical(flight.slot)).min(PACE_CAP);
         if let Some(replica) = self.replicas.get_mut(&flight.replica) {
             replica.out -= u32::from(call_over);
-            let pace = replica.pace_now(self.now);
+            let pace = Self::pace(replica, self.now);
             match outcome {
                 Outcome::Ok => {
                     replica.last_ok = self.now;
@@ -333,6 +252,11 @@
 
     // ---- judging replicas ----
 
+    /// A replica's pace, which drifts back to 1 while nothing is heard of it.
+    fn pace(replica: &Replica, now: Micros) -> f64 {
+        1.0 + (replica.pace - 1.0) * fade(now - replica.pace_at, PACE_HALF)
+    }
+
     fn typical(&self, slot: usize) -> Micros {
         let own = self.slots[slot].typical;
         let any = || self.slots.iter().find_map(|slot| slot.typical);
@@ -373,7 +297,7 @@
         let mut paces: BTreeMap<ReplicaId, f64> = BTreeMap::new();
         for (id, replica) in self.replicas.iter_mut().filter(|(_, r)| r.lifecycle == Lifecycle::On) {
             replica.ghosts.retain(|until| *until > now);
-            paces.insert(*id, replica.pace_now(now));
+            paces.insert(*id, Self::pace(replica, now));
         }
         for flight in self.flights.values().filter(|flight| !flight.cancelled) {
             let Some(replica) = self.replicas.get(&flight.replica) else { continue };
@@ -472,14 +396,13 @@
         let takes = (self.typical(query.class * 2).times(LEAST_TIME) + second).min(class.aim.times(0.5));
         let worthless = density <= 0.0 || self.stop_at(query) - self.now < takes;
         // A query whose shards are down by the list's own word can't be answered; with no list it waits.
-        let listed = self.replicas.values().any(|replica| replica.lifecycle == Lifecycle::On);
-        let up =
-            |part: &&Part| self.holders(part.shard).any(|(_, replica)| replica.lifecycle == Lifecycle::On);
+        let on = |replica: &Replica| replica.lifecycle == Lifecycle::On;
+        let up = |part: &&Part| self.holders(part.shard).any(|(_, replica)| on(replica));
+        let listed = self.replicas.values().any(on);
         let reach: f64 = query.parts.iter().filter(up).map(|part| part.weight).sum();
         let parts = query.parts.len() as f64 * class.need;
-        let room = self.limit.is_none_or(|limit| {
-            self.parts_out() + parts <= (limit * (1.0 - RANK_TILT * (1.0 - rank))).max(parts)
-        });
+        let share = 1.0 - RANK_TILT * (1.0 - rank);
+        let room = self.limit.is_none_or(|limit| self.parts_out() + parts <= (limit * share).max(parts));
         !worthless && room && (!listed || reach > class.floor - EPS)
     }
 
@@ -499,8 +422,7 @@
     /// Takes a query as far as it goes now; false once it has its final answer.
     fn advance(&mut self, query: &mut Query) -> bool {
         if !query.admitted && !self.admit(query) {
-            self.give_up(query);
-            return false;
+            return self.give_up(query);
         }
         query.admitted = true;
         let class = &self.set.classes[query.class];
@@ -515,8 +437,7 @@
             return query.step == 2 && self.set.classes[query.class].second_step > 0;
         }
         if self.now >= self.stop_at(query) {
-            self.give_up(query);
-            return false;
+            return self.give_up(query);
         }
         self.cancel_open(query, true);
         self.dispatch(query, need);
@@ -549,11 +470,10 @@
             }
             let lacking = live < need - EPS;
             let Some(((kind, _, _), index, replica)) = best.filter(|_| lacking || extra_due) else { break };
-            if !lacking {
+            if !lacking && kind > 0 {
+                break; // an extra is a part not asked for yet, not a copy
+            } else if !lacking {
                 extra_due = false;
-                if kind > 0 {
-                    break;
-                }
                 self.extras.add(self.now, HALF_LIFE, 1.0);
             }
             self.send(query, index, replica);
@@ -651,9 +571,9 @@
         let rate = share * rules.tip_multiple * warmth * replica.size.min(1.0);
         let budget = rate * rules.fall.0 as f64;
         let work = self.slots[slot].work.map_or(budget, |work| work.0 as f64);
-        let spent: f64 =
-            replica.recent.iter().filter(|(at, _)| self.now - *at <= rules.fall).map(|(_, work)| work).sum();
-        let last = replica.last_sent.unwrap_or(started).max(started).max(self.born);
+        let lately = replica.recent.iter().filter(|(at, _)| self.now - *at <= rules.fall);
+        let spent: f64 = lately.map(|(_, work)| work).sum();
+        let last = replica.recent.back().map_or(started, |(at, _)| *at).max(started).max(self.born);
         let spaced = (self.now - last).0 as f64 > work / rate;
         spent + work <= budget || (work > budget && spaced)
     }
@@ -685,7 +605,6 @@
         let call = replica.call.1;
         replica.recent.retain(|(at, _)| now - *at <= fall);
         replica.recent.push_back((now, work));
-        replica.last_sent = Some(now);
         let part = &mut query.parts[index];
         let attempt = part.attempts.len() as u32;
         part.attempts.push(Attempt { replica: id, sent: now, open: true, never_ran: false });
@@ -719,7 +638,7 @@
 
     /// The final answer without a whole one: in part if the class allows it and enough is in, a refusal
     /// where trying again does no harm, else a failure.
-    fn give_up(&mut self, query: &Query) {
+    fn give_up(&mut self, query: &Query) -> bool {
         let class = &self.set.classes[query.class];
         let mine = query.parts.iter().filter(|part| part.step == query.step);
         let landed: f64 = mine.filter(|part| part.done).map(|part| part.weight).sum();
@@ -739,5 +658,6 @@
             self.actions.push(Action::Fail { query: id });
         }
         self.cancel_open(query, false);
+        false
     }
 }
