--- /dev/null
+++ b/crates/benchlink/tests/wire.rs
@@ -0,0 +1,211 @@
+//! The binary on hand-written text of the wire, bad input included.
+
+use serde_json::{json, Value};
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const OPTIONS: &str = r#"{"azs":["hall"],"classes":[
+ {"aim":1000000,"dedup_window":2000000,"effect":"retryable","gain":1.0,"group":"all","hard_limit":3000000,
+  "late_worth":0.1,"name":"lookup","stream":false}],
+ "discovery":"ask","family_info":{"batch":1,"call":0,"class_floor":[0.5],"need_by_class":[0.5],
+ "partial_earns":[0.9],"positions":2,"second_step":[0],"slabs":2,"span":2},"fleet_size":1,
+ "fees":{"waste":0.1},"over_share_worth":0.1,"projects":[{"name":"one","quota_per_s":5.0,"share":1.0}],
+ "permissions":{"cancel":true,"may_duplicate":true,"most_held":100,"probing":false,"retry_after":true,
+ "max_retry_after":500000,"try_limit":3},"quantum":5000,
+ "rules":{"cold_share":0.2,"drain_grace":1000000,"fall":1000000,"grace_to_answer":20000,
+ "must_ask_in":10000000,"tip_multiple":3.0,"warm_within":9000000},"zone":"hall","something_new":[1,2]}"#;
+
+fn run(lines: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pinetrestle-benchlink"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    let mut input = child.stdin.take().expect("a pipe");
+    let text = lines.to_owned();
+    let writer = std::thread::spawn(move || {
+        // The binary may leave before it has read all.
+        let _ = input.write_all(text.as_bytes());
+    });
+    let output = child.wait_with_output().expect("the binary ends");
+    writer.join().expect("the writer ends");
+    output
+}
+
+/// Replies as lists of actions, one for each batch.
+fn replies(output: &Output) -> Vec<Vec<Value>> {
+    let mut all = vec![Vec::new()];
+    for line in String::from_utf8_lossy(&output.stdout).lines() {
+        let line: Value = serde_json::from_str(line).expect("JSON on every line");
+        if line["what"] == "NEXT" {
+            all.push(Vec::new());
+        } else {
+            all.last_mut().expect("never empty").push(line);
+        }
+    }
+    assert_eq!(all.pop(), Some(Vec::new()), "each reply is closed");
+    all
+}
+
+fn batch(wall: i64, lines: &[String]) -> String {
+    let body: String = lines.iter().map(|line| format!("{}\n", line.replace('\n', " "))).collect();
+    format!("{{\"what\":\"SYNC\",\"wall\":{wall}}}\n{body}{{\"what\":\"OVER_TO_YOU\"}}\n")
+}
+
+fn start(who: u32) -> Vec<String> {
+    let item = |server: &str, cell| {
+        json!({"az": "hall", "server": server, "scale": 1, "shape": "x", "lifecycle": "on", "launched": null,
+               "cell": cell})
+    };
+    vec![
+        format!(r#"{{"what":"INIT","who":{who},"nonce64":17,"options":{OPTIONS}}}"#),
+        json!({"what": "TABLE", "ref": 3, "items": [item("10.0.0.1:7", 0), item("10.0.0.2:7", 1)]})
+            .to_string(),
+        json!({"what": "PEERS_KNOWN", "who": who, "ref": 3, "mode": "disk", "index": 1}).to_string(),
+    ]
+}
+
+fn query(who: u32) -> Vec<String> {
+    let line = |id: u32, range: i32, amount: f64| {
+        json!({"what": "QUERY", "who": who, "id": id, "lane": "lookup", "customer": "one", "route_key": null,
+               "expires_in": 2000000, "expected": null, "query": 1, "range_no": range, "amount": amount,
+               "repeat": false, "update": false})
+        .to_string()
+    };
+    vec![line(4000000000, -1, 2.0), line(11, 0, 0.5), line(12, 1, 0.5)]
+}
+
+fn of<'a>(actions: &'a [Value], what: &str) -> Vec<&'a Value> {
+    actions.iter().filter(|action| action["what"] == what).collect()
+}
+
+#[test]
+fn empty_batches_get_empty_replies_and_the_end_of_input_ends_it() {
+    let output = run(&(batch(5, &[]) + &batch(6, &[])));
+    assert!(output.status.success());
+    assert_eq!(String::from_utf8_lossy(&output.stdout), "{\"what\":\"NEXT\"}\n{\"what\":\"NEXT\"}\n");
+}
+
+#[test]
+fn a_query_is_sent_and_answered() {
+    let sent = run(&(batch(1000, &start(4)) + &batch(6000, &query(4))));
+    let sends = replies(&sent).remove(1);
+    let attempt = of(&sends, "ATTEMPT")[0].clone();
+    assert_eq!(of(&sends, "ATTEMPT").len(), 1, "half of two parts is needed: {sends:?}");
+    assert!(["10.0.0.1:7", "10.0.0.2:7"].contains(&attempt["server"].as_str().expect("text")));
+    let closed = json!({"what": "CLOSED_ATTEMPT", "who": 4, "id": attempt["id"], "try": 0,
+                        "server": attempt["server"], "state_code": "ok", "lag": 90000, "settled": true,
+                        "telemetry": {"unheard_of": 1.0}})
+    .to_string();
+    let text = batch(1000, &start(4)) + &batch(6000, &query(4)) + &batch(96000, &[closed]);
+    let last = replies(&run(&text)).remove(2);
+    let answer = of(&last, "SETTLE_QUERY");
+    assert_eq!(answer, [&json!({"what": "SETTLE_QUERY", "who": 4, "id": 4000000000u32, "full": true})]);
+}
+
+#[test]
+fn an_unknown_status_is_no_success() {
+    let closed = |part: u32| {
+        json!({"what": "CLOSED_ATTEMPT", "who": 4, "id": part, "try": 0, "server": "10.0.0.1:7",
+               "state_code": "splendid", "lag": 90000, "settled": false, "telemetry": null})
+        .to_string()
+    };
+    let text = batch(1000, &start(4)) + &batch(6000, &query(4)) + &batch(96000, &[closed(11), closed(12)]);
+    let last = replies(&run(&text)).remove(2);
+    assert!(of(&last, "SETTLE_QUERY").is_empty());
+    assert_eq!(of(&last, "ATTEMPT").len(), 1, "it is tried again: {last:?}");
+}
+
+#[test]
+fn an_unknown_state_of_a_server_is_no_leave_to_send() {
+    let mut lines = start(4);
+    lines[1] = lines[1].replace("\"lifecycle\":\"on\"", "\"lifecycle\":\"dozing\"");
+    let sends = replies(&run(&(batch(1000, &lines) + &batch(6000, &query(4))))).remove(1);
+    assert!(of(&sends, "ATTEMPT").is_empty(), "{sends:?}");
+}
+
+#[test]
+fn an_unknown_kind_of_list_counts_as_a_failed_call() {
+    let mut lines = start(4);
+    lines[2] = lines[2].replace("\"disk\"", "\"hearsay\"");
+    let sends = replies(&run(&(batch(1000, &lines) + &batch(6000, &query(4))))).remove(1);
+    assert!(of(&sends, "ATTEMPT").is_empty());
+}
+
+#[test]
+fn tables_are_resolved_in_the_order_of_events() {
+    let mut lines = start(4);
+    let empty = json!({"what": "TABLE", "ref": 3, "items": []}).to_string();
+    lines.push(empty); // the same number again, after its use
+    let sends = replies(&run(&(batch(1000, &lines) + &batch(6000, &query(4))))).remove(1);
+    assert_eq!(of(&sends, "ATTEMPT").len(), 1);
+}
+
+#[test]
+fn a_stop_and_a_start_in_one_batch_leave_an_empty_instance() {
+    let mut second = vec![json!({"what": "POWER_OFF", "who": 4}).to_string()];
+    second.extend(start(4));
+    let stray = json!({"what": "CANCELLED_BY_CLIENT", "who": 4, "id": 4000000000u32}).to_string();
+    second.push(stray);
+    second.extend(query(4));
+    let text = batch(1000, &start(4)) + &batch(6000, &query(4)) + &batch(9000, &second);
+    let last = replies(&run(&text)).remove(2);
+    assert_eq!(of(&last, "ATTEMPT").len(), 1);
+}
+
+#[test]
+fn only_instances_with_an_event_act_and_each_acts_for_itself() {
+    let mut lines = start(4);
+    lines.extend(start(9));
+    let all = replies(&run(&(batch(1000, &lines) + &batch(6000, &query(9)))));
+    assert!(all[1].iter().all(|action| action["who"] == 9));
+    assert_eq!(of(&all[1], "ATTEMPT").len(), 1);
+}
+
+#[test]
+fn events_of_other_names_and_for_others_are_skipped() {
+    let odd = vec![
+        json!({"what": "WEATHER", "who": 4, "sky": "blue"}).to_string(),
+        json!({"what": "MEMO", "who": 4, "src": 2, "blob": "aGkgNw=="}).to_string(),
+        json!({"what": "RING", "who": 77, "mark": "wake"}).to_string(),
+    ];
+    let output = run(&(batch(1000, &start(4)) + &batch(6000, &odd)));
+    assert!(output.status.success());
+    assert_eq!(replies(&output).len(), 2);
+}
+
+#[test]
+fn a_batch_of_megabytes_is_taken() {
+    let mut lines = start(4);
+    let filler = "x".repeat(200);
+    lines.extend((0..30_000).map(|n| json!({"what": "NOISE", "who": 4, "n": n, "fill": filler}).to_string()));
+    let output = run(&batch(1000, &lines));
+    assert!(output.status.success());
+    assert_eq!(replies(&output).len(), 1);
+}
+
+#[test]
+fn bad_lines_end_it_with_one_message_that_names_line_and_field() {
+    let missing = r#"{"what":"CLOSED_ATTEMPT","who":4,"id":11,"server":"s","state_code":"ok","lag":3}"#;
+    let cases = [
+        ("this is no JSON", "line 5: not JSON"),
+        (missing, "line 5: field 'try' is missing"),
+        (r#"{"who":4}"#, "line 5: field 'what' is missing"),
+        (r#"{"what":"CANCELLED_BY_CLIENT","who":4,"id":"x"}"#, "line 5: field 'id' is not a count"),
+        (r#"{"what":"CANCELLED_BY_CLIENT","who":4,"id":99999999999}"#, "line 5: field 'id' is out of range"),
+        (
+            r#"{"what":"PEERS_KNOWN","who":4,"ref":9,"mode":"diff","index":2}"#,
+            "line 5: field 'ref' names no table",
+        ),
+    ];
+    for (line, message) in cases {
+        let mut lines = start(4);
+        lines.push(line.to_owned());
+        let output = run(&batch(1000, &lines));
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success(), "{line}");
+        assert!(said.contains(message), "{line}: {said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+    }
+}
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,656 @@
+//! The decisions, one small test for each: driven through the interface only.
+
+mod common;
+
+use common::*;
+use pinetrestle::interface::*;
+
+const WHOLE: bool = true;
+
+// ---- the ordinary path ----
+
+#[test]
+fn an_n_of_k_class_sends_n_parts_and_answers_at_n() {
+    let mut world = World::new(settings(), 8);
+    let (id, actions) = world.query(1, &[0, 1, 2, 3]);
+    assert_eq!(sends(&actions).len(), 3, "three of four parts are needed");
+    world.now = world.now + ms(50);
+    let actions = world.end_all(Outcome::Ok, |_| true);
+    assert_eq!(finals(&actions), [Action::Answer { query: id, whole: WHOLE }]);
+}
+
+#[test]
+fn n_goes_by_weight_not_by_number() {
+    let mut world = World::new(settings(), 8);
+    let mut events =
+        vec![Event::Query { id: 1, number: 1, class: 1, tenant: None, expires_in: ms(3000), hint: None }];
+    for (id, weight) in [(2, 0.7), (3, 0.1), (4, 0.1), (5, 0.1)] {
+        events.push(Event::Part { id, number: 1, shard: id, weight, hint: None });
+    }
+    let actions = world.tell(events);
+    assert!(sends(&actions).iter().any(|(part, _)| *part == 2), "no three quarters without the heavy part");
+    world.now = world.now + ms(50);
+    // The heavy part alone is less than the need.
+    let event = world.ended(2, 0, Outcome::Ok);
+    assert!(finals(&world.tell(vec![event])).is_empty());
+    let actions = world.end_all(Outcome::Ok, |_| true);
+    assert_eq!(finals(&actions), [Action::Answer { query: 1, whole: WHOLE }]);
+}
+
+#[test]
+fn parts_go_to_the_shards_and_replicas_with_fewest_of_our_parts_out() {
+    let mut world = World::new(settings(), 4);
+    // Shard 0 lives on replicas 0 and 1: both get a part, so the two parts differ in replica.
+    let (_, first) = world.query(0, &[0, 0]);
+    let mut busy: Vec<ReplicaId> = sends(&first).iter().map(|(_, replica)| *replica).collect();
+    busy.sort();
+    assert_eq!(busy, [0, 1]);
+    // Of shards 0, 2, 2, 2 three are needed; shard 0 has only busy replicas and is left out.
+    let (id, second) = world.query(1, &[0, 2, 2, 2]);
+    assert!(sends(&second).iter().all(|(part, _)| *part != id + 1), "{second:?}");
+}
+
+#[test]
+fn ties_fall_at_random_but_alike_for_the_same_seed() {
+    let run = || {
+        let mut world = World::new(settings(), 4);
+        let mut met = Vec::new();
+        for _ in 0..40 {
+            let (_, actions) = world.query(0, &[0]);
+            met.push(sends(&actions)[0].1);
+            world.now = world.now + ms(100);
+            world.end_all(Outcome::Ok, |_| true);
+        }
+        met
+    };
+    let met = run();
+    assert_eq!(met, run());
+    let zeros = met.iter().filter(|replica| **replica == 0).count();
+    assert!((8..=32).contains(&zeros), "both holders are met: {zeros} of 40");
+}
+
+#[test]
+fn extras_stay_under_a_tenth_and_are_cancelled_at_n() {
+    let mut world = World::new(settings(), 8);
+    let (mut sent, mut extras, mut cancelled) = (0, 0, 0);
+    for _ in 0..200 {
+        let (_, actions) = world.query(1, &[0, 1, 2, 3]);
+        let parts = sends(&actions);
+        sent += parts.len();
+        extras += parts.len() - 3;
+        world.now = world.now + ms(50);
+        let three: Vec<(Id, u32)> = world.out.keys().take(3).copied().collect();
+        let events = three.into_iter().map(|(part, n)| world.ended(part, n, Outcome::Ok)).collect();
+        let actions = world.tell(events);
+        cancelled += actions.iter().filter(|action| matches!(action, Action::Cancel { .. })).count();
+        world.end_all(Outcome::Cancelled, |_| true);
+    }
+    assert!(extras > 20, "extras are asked: {extras}");
+    assert!(extras as f64 <= 0.1 * sent as f64 + 1.0, "{extras} of {sent}");
+    assert_eq!(cancelled, extras);
+}
+
+#[test]
+fn parts_that_share_a_call_count_once() {
+    let mut set = settings();
+    set.limits.batch = 16;
+    let mut world = World::new(set, 2);
+    // Replicas 0 and 1 hold shard 0. Six parts in one round make one call to each ...
+    let (_, first) = world.query(0, &[0, 0, 0, 0, 0, 0]);
+    assert_eq!(sends(&first).len(), 6);
+    let at_0: Vec<Id> = sends(&first).iter().filter(|(_, r)| *r == 0).map(|(part, _)| *part).collect();
+    let at_1 = 6 - at_0.len();
+    assert!(!at_0.is_empty() && at_1 > 0);
+    // ... so that a whole call that has ended frees its replica, however many parts were in it.
+    world.now = world.now + ms(50);
+    world.end_all(Outcome::Ok, |replica| replica == 0);
+    let (_, next) = world.query(0, &[0]);
+    assert_eq!(sends(&next)[0].1, 0);
+}
+
+// ---- second step ----
+
+fn two_steps() -> World {
+    let mut set = settings();
+    set.classes[0].second_step = 2;
+    World::new(set, 8)
+}
+
+#[test]
+fn a_second_step_follows_the_first_answer_and_is_whole_only_when_all_is_in() {
+    let mut world = two_steps();
+    let (id, _) = world.query(0, &[0, 1]);
+    world.now = world.now + ms(50);
+    let actions = world.end_all(Outcome::Ok, |_| true);
+    assert_eq!(finals(&actions), [Action::Answer { query: id, whole: WHOLE }]);
+    let number = u64::from(id);
+    let part = |id, shard| Event::Part { id, number, shard, weight: 0.5, hint: None };
+    let actions = world.tell(vec![part(100, 0), part(101, 1)]);
+    assert_eq!(sends(&actions).len(), 2);
+    world.now = world.now + ms(50);
+    let event = world.ended(100, 0, Outcome::Ok);
+    assert!(finals(&world.tell(vec![event])).is_empty(), "half of the second step is no answer");
+    let event = world.ended(101, 0, Outcome::Ok);
+    assert_eq!(finals(&world.tell(vec![event])), [Action::Answer { query: id, whole: WHOLE }]);
+}
+
+#[test]
+fn a_second_step_that_never_lands_ends_without_an_answer() {
+    let mut world = two_steps();
+    let (id, _) = world.query(0, &[0, 1]);
+    world.now = world.now + ms(50);
+    world.end_all(Outcome::Ok, |_| true);
+    world.tell(vec![Event::Part { id: 100, number: u64::from(id), shard: 0, weight: 1.0, hint: None }]);
+    let mut ends = Vec::new();
+    for _ in 0..200 {
+        ends.extend(finals(&world.wait(ms(20))));
+    }
+    assert!(matches!(ends[..], [Action::Refuse { query, .. }] if query == id), "{ends:?}");
+}
+
+// ---- the list ----
+
+#[test]
+fn nothing_new_goes_to_a_draining_or_vanished_replica() {
+    for lifecycle in [Lifecycle::Draining, Lifecycle::Gone] {
+        let mut world = World::new(settings(), 4);
+        world.tell(vec![Event::ListChanges(vec![line(0, lifecycle, None)])]);
+        for _ in 0..30 {
+            let (_, actions) = world.query(0, &[0]);
+            assert_eq!(sends(&actions)[0].1, 1);
+            world.now = world.now + ms(50);
+            world.end_all(Outcome::Ok, |_| true);
+        }
+    }
+}
+
+#[test]
+fn a_replica_missing_from_a_full_list_has_left() {
+    let mut world = World::new(settings(), 4);
+    let rest = (1..4).map(|n| line(n, Lifecycle::On, None)).collect();
+    world.tell(vec![Event::List { replicas: rest, stored: false }]);
+    for _ in 0..20 {
+        let (_, actions) = world.query(0, &[0]);
+        assert_eq!(sends(&actions)[0].1, 1);
+    }
+}
+
+#[test]
+fn parts_out_at_a_replica_that_left_are_sent_elsewhere_at_once() {
+    let mut world = World::new(settings(), 4);
+    let (_, actions) = world.query(0, &[0]);
+    let (part, first) = sends(&actions)[0];
+    let actions = world.tell(vec![Event::ListChanges(vec![line(first, Lifecycle::Gone, None)])]);
+    assert_eq!(sends(&actions), [(part, 1 - first)]);
+}
+
+#[test]
+fn without_any_list_a_query_waits_and_goes_out_when_the_list_comes() {
+    let mut world = World::new(settings(), 0);
+    let (_, actions) = world.query(0, &[0, 1]);
+    assert!(sends(&actions).is_empty() && finals(&actions).is_empty());
+    let actions = world.tell(vec![full_list(4)]);
+    assert_eq!(sends(&actions).len(), 2);
+}
+
+#[test]
+fn a_query_whose_shard_has_no_replica_in_service_is_declined_at_once() {
+    let mut world = World::new(settings(), 4);
+    world
+        .tell(vec![Event::ListChanges(vec![line(0, Lifecycle::Gone, None), line(1, Lifecycle::Gone, None)])]);
+    let (id, actions) = world.query(0, &[0, 2]);
+    assert!(matches!(finals(&actions)[..], [Action::Refuse { query, retry_after: Some(_) }] if query == id));
+    assert!(sends(&actions).is_empty());
+}
+
+#[test]
+fn the_list_is_watched_and_asked_for_again_after_a_failure_with_growing_waits() {
+    let mut set = settings();
+    set.must_ask = true;
+    let mut world = World::new(set, 0);
+    let mut asked = Vec::new();
+    for _ in 0..1000 {
+        if world.wait(ms(10)).contains(&Action::WatchList) {
+            asked.push(world.now);
+            world.tell(vec![Event::ListFailed]);
+        }
+    }
+    assert!(asked.len() >= 4, "{asked:?}");
+    let waits: Vec<i64> = asked.windows(2).map(|pair| (pair[1] - pair[0]).0).collect();
+    assert!(waits[2] > waits[0], "{waits:?}");
+    assert!(waits.iter().all(|wait| *wait < 5_000_000), "well within the time that counts as told");
+}
+
+#[test]
+fn a_watch_that_is_never_answered_is_asked_for_again() {
+    let mut set = settings();
+    set.must_ask = true;
+    let mut world = World::new(set, 0);
+    let asked = (0..1000).filter(|_| world.wait(ms(10)).contains(&Action::WatchList)).count();
+    assert!((2..=3).contains(&asked), "{asked}");
+}
+
+#[test]
+fn front_nodes_that_restart_together_do_not_ask_together() {
+    let mut set = settings();
+    (set.must_ask, set.fleet_size) = (true, 100);
+    let first = |seed| {
+        let mut world = World::new(set.clone(), 0);
+        world.node = pinetrestle::FrontNode::new(set.clone(), seed, world.now);
+        (0..1000).find(|_| world.wait(ms(10)).contains(&Action::WatchList)).expect("it asks")
+    };
+    let moments: std::collections::BTreeSet<u32> = (0..20).map(first).collect();
+    assert!(moments.len() > 10, "{moments:?}");
+}
+
+// ---- the gates ----
+
+#[test]
+fn an_unsafe_part_is_repeated_only_on_proof_that_it_never_ran() {
+    for (outcome, again) in [
+        (Outcome::Full, 1),
+        (Outcome::ConnectFailed, 1),
+        (Outcome::Error, 0),
+        (Outcome::Timeout, 0),
+        (Outcome::Reset, 0),
+        (Outcome::Cancelled, 0),
+    ] {
+        let mut set = settings();
+        set.classes[0].effect = Effect::Unsafe;
+        let mut world = World::new(set, 4);
+        world.query(0, &[0]);
+        world.now = world.now + ms(20);
+        let actions = world.end_all(outcome, |_| true);
+        assert_eq!(sends(&actions).len(), again, "{outcome:?}");
+        let mut ends = finals(&actions);
+        for _ in 0..200 {
+            let actions = world.wait(ms(20));
+            assert!(sends(&actions).is_empty());
+            ends.extend(finals(&actions));
+        }
+        // What may have run ends as a failure, which promises nothing.
+        assert!(matches!(ends[..], [Action::Fail { .. }]), "{outcome:?} {ends:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_query_of_which_nothing_ran_may_be_refused() {
+    let mut set = settings();
+    set.classes[0].effect = Effect::Unsafe;
+    set.limits.attempts = 1;
+    let mut world = World::new(set, 4);
+    world.query(0, &[0]);
+    let mut ends = finals(&world.end_all(Outcome::Full, |_| true));
+    for _ in 0..200 {
+        ends.extend(finals(&world.wait(ms(20))));
+    }
+    assert!(matches!(ends[..], [Action::Refuse { .. }]), "{ends:?}");
+}
+
+#[test]
+fn a_keyed_part_that_may_have_run_is_repeated_only_within_its_window() {
+    for (age, again) in [(ms(1500), 1), (ms(2100), 0)] {
+        let mut set = settings();
+        set.classes[0].effect = Effect::Keyed;
+        set.limits.may_duplicate = false;
+        let mut world = World::new(set, 4);
+        world.query(0, &[0]);
+        world.now = world.now + age;
+        let actions = world.end_all(Outcome::Timeout, |_| true);
+        assert_eq!(sends(&actions).len(), again, "{age:?}");
+    }
+}
+
+#[test]
+fn no_second_copy_where_copies_are_not_allowed() {
+    let mut set = settings();
+    set.limits.may_duplicate = false;
+    let mut world = World::new(set, 4);
+    world.query(0, &[0]);
+    for _ in 0..100 {
+        assert!(sends(&world.wait(ms(20))).is_empty());
+    }
+}
+
+#[test]
+fn no_more_attempts_than_allowed() {
+    let mut world = World::new(settings(), 4);
+    let (id, _) = world.query(0, &[0]);
+    for _ in 0..20 {
+        world.now = world.now + ms(5);
+        world.end_all(Outcome::Error, |_| true);
+    }
+    assert_eq!(world.tries[&(id + 1)], 3);
+}
+
+#[test]
+fn further_attempts_stay_within_the_retry_budget() {
+    let mut set = settings();
+    set.limits.attempts = 10;
+    set.rules.retry_budget = Some(RetryBudget { window: ms(2000), floor: 2.0, share: 0.1 });
+    let mut world = World::new(set, 4);
+    let mut further = 0;
+    for _ in 0..10 {
+        world.query(0, &[0]);
+        for _ in 0..5 {
+            world.now = world.now + ms(5);
+            further += sends(&world.end_all(Outcome::Error, |_| true)).len();
+        }
+    }
+    // 10 queries of one part are 20 taken: 2 + 0.1 * 20.
+    assert!((2..=4).contains(&further), "{further}");
+}
+
+#[test]
+fn a_cold_replica_gets_no_more_than_its_share_in_any_window() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    let started = world.now;
+    world.tell(vec![Event::ListChanges(vec![line(0, Lifecycle::On, Some(started))])]);
+    let mut at_0: Vec<Micros> = Vec::new();
+    for _ in 0..200 {
+        let (_, actions) = world.query(0, &[0, 0, 0]);
+        at_0.extend(sends(&actions).iter().filter(|(_, r)| *r == 0).map(|_| world.now));
+        world.now = world.now + ms(100);
+        world.end_all(Outcome::Ok, |_| true);
+    }
+    assert!(!at_0.is_empty(), "it is not starved");
+    for first in at_0.iter().filter(|at| **at + ms(1000) - started < ms(10_000)) {
+        let window = at_0.iter().filter(|at| **at >= *first && **at - *first <= ms(1000)).count() as f64;
+        let warmth = 0.2 + 0.8 * (*first + ms(1000) - started).over(ms(10_000));
+        // Two front nodes share twice the capacity; parts cost 100 ms.
+        assert!(window * 0.1 <= 0.5 * 2.0 * warmth + 0.1, "{window} parts at warmth {warmth}");
+    }
+}
+
+#[test]
+fn just_after_its_own_start_a_front_node_sends_nothing_to_a_cold_replica() {
+    let mut world = World::new(settings(), 0);
+    let mut lines: Vec<Listed> = (0..4).map(|n| line(n, Lifecycle::On, None)).collect();
+    lines[0].started = Some(world.now - ms(100));
+    world.tell(vec![Event::List { replicas: lines, stored: true }]);
+    for _ in 0..20 {
+        let (_, actions) = world.query(0, &[0]);
+        assert!(sends(&actions).iter().all(|(_, replica)| *replica == 1));
+        world.now = world.now + ms(20);
+        world.end_all(Outcome::Ok, |_| true);
+    }
+}
+
+// ---- final answers ----
+
+#[test]
+fn a_query_that_nobody_answers_ends_before_its_client_leaves() {
+    let mut world = World::new(settings(), 4);
+    let (id, mut events) = world.query_events(0, &[0], ms(800));
+    events.truncate(2);
+    let start = world.now;
+    let actions = world.tell(events);
+    let timers: Vec<Micros> =
+        actions.iter().filter_map(|a| if let Action::Timer(span) = a { Some(*span) } else { None }).collect();
+    assert!(timers.iter().any(|span| *span > ms(700) && *span < ms(800)), "a timer of its own: {timers:?}");
+    let mut end = None;
+    for _ in 0..200 {
+        for action in finals(&world.wait(ms(5))) {
+            assert_eq!(end, None, "one final answer");
+            assert!(matches!(action, Action::Refuse { query, .. } if query == id));
+            end = Some(world.now - start);
+        }
+    }
+    assert!(end.is_some_and(|end| end < ms(800)), "{end:?}");
+}
+
+#[test]
+fn no_answer_and_no_send_after_the_client_has_left() {
+    let mut world = World::new(settings(), 4);
+    let (id, _) = world.query(0, &[0]);
+    let actions = world.tell(vec![Event::ClientGone(id)]);
+    assert!(actions.iter().any(|action| matches!(action, Action::Cancel { .. })));
+    let actions = world.end_all(Outcome::Ok, |_| true);
+    assert!(finals(&actions).is_empty() && sends(&actions).is_empty());
+    assert!(finals(&world.wait(ms(5000))).is_empty());
+}
+
+#[test]
+fn a_partial_answer_comes_from_the_floor_up_and_is_not_called_whole() {
+    for (landed, partial) in [(1, false), (2, true)] {
+        let mut set = settings();
+        set.classes[0].floor = 0.5;
+        let mut world = World::new(set, 8);
+        world.query(0, &[0, 1, 2, 3]);
+        world.now = world.now + ms(50);
+        let some: Vec<(Id, u32)> = world.out.keys().take(landed).copied().collect();
+        let events = some.into_iter().map(|(part, n)| world.ended(part, n, Outcome::Ok)).collect();
+        let mut ends = finals(&world.tell(events));
+        assert!(ends.is_empty(), "waiting may still do better");
+        for _ in 0..200 {
+            ends.extend(finals(&world.wait(ms(20))));
+        }
+        assert_eq!(ends.len(), 1);
+        assert_eq!(matches!(ends[0], Action::Answer { whole: false, .. }), partial, "{ends:?}");
+    }
+}
+
+#[test]
+fn a_query_that_earns_nothing_late_is_ended_at_its_aim() {
+    let mut set = settings();
+    set.classes[0].late_worth = 0.0;
+    let mut world = World::new(set, 4);
+    world.query(0, &[0]);
+    let start = world.now;
+    let end = (0..300).find(|_| !finals(&world.wait(ms(5))).is_empty());
+    assert!(end.is_some() && world.now - start <= ms(1000));
+}
+
+#[test]
+fn an_unknown_class_and_unknown_ids_do_no_harm() {
+    let mut world = World::new(settings(), 4);
+    let query =
+        Event::Query { id: 9, number: 9, class: usize::MAX, tenant: None, expires_in: ms(500), hint: None };
+    let part = Event::Part { id: 10, number: 9, shard: 0, weight: 1.0, hint: None };
+    let stray = Event::AttemptEnded { part: 77, attempt: 3, outcome: Outcome::Ok, took: ms(5) };
+    let actions = world.tell(vec![query, part, stray, Event::ClientGone(55), Event::Probed]);
+    assert_eq!(actions, [Action::Refuse { query: 9, retry_after: None }]);
+}
+
+// ---- when things fail ----
+
+#[test]
+fn a_replica_that_fails_fast_does_not_look_idle() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    let mut at_0 = 0;
+    for _ in 0..100 {
+        let (_, actions) = world.query(0, &[0]);
+        at_0 += sends(&actions).iter().filter(|(_, replica)| *replica == 0).count();
+        world.now = world.now + ms(5);
+        world.end_all(Outcome::Error, |replica| replica == 0);
+        world.now = world.now + ms(45);
+        world.end_all(Outcome::Ok, |replica| replica != 0);
+    }
+    assert!(at_0 < 25, "{at_0} of 100 went to the replica that fails");
+}
+
+#[test]
+fn a_replica_that_swallows_parts_is_left_for_its_peer() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    let mut at_0 = 0;
+    for _ in 0..100 {
+        let (_, actions) = world.query(0, &[0]);
+        at_0 += sends(&actions).iter().filter(|(_, replica)| *replica == 0).count();
+        world.now = world.now + ms(100);
+        world.end_all(Outcome::Ok, |replica| replica != 0);
+    }
+    assert!((1..15).contains(&at_0), "{at_0} of 100 went to the replica that swallows");
+}
+
+#[test]
+fn a_replica_far_slower_than_its_peers_counts_for_more() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    let mut at_0 = 0;
+    for _ in 0..100 {
+        let (_, actions) = world.query(0, &[0]);
+        let slow = sends(&actions)[0].1 == 0;
+        at_0 += u32::from(slow);
+        world.now = world.now + ms(if slow { 390 } else { 100 });
+        world.end_all(Outcome::Ok, |_| true);
+    }
+    assert!((1..40).contains(&at_0), "{at_0} of 100 went to the slow replica");
+}
+
+#[test]
+fn a_slowdown_of_everything_condemns_nobody_and_copies_little() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    let (mut copies, mut condemned) = (0, 0);
+    for _ in 0..60 {
+        world.query(0, &[0, 1, 2, 3]);
+        for _ in 0..15 {
+            let actions = world.wait(ms(20));
+            copies += sends(&actions).len();
+            let said = |a: &&Action| matches!(a, Action::Remark(text) if text.contains("condemned"));
+            condemned += actions.iter().filter(said).count();
+        }
+        world.end_all(Outcome::Ok, |_| true);
+    }
+    assert_eq!(condemned, 0);
+    assert!(copies < 12, "{copies} copies for 240 parts");
+}
+
+#[test]
+fn an_overdue_part_is_copied_to_another_holder_and_the_loser_cancelled() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    let (_, actions) = world.query(0, &[0]);
+    let (part, first) = sends(&actions)[0];
+    let copies: Vec<(Id, ReplicaId)> = (0..40).flat_map(|_| sends(&world.wait(ms(20)))).collect();
+    assert_eq!(copies, [(part, 1 - first)]);
+    let event = world.ended(part, 1, Outcome::Ok);
+    let actions = world.tell(vec![event]);
+    assert!(actions.contains(&Action::Cancel { part, attempt: 0 }));
+}
+
+#[test]
+fn an_overdue_part_of_an_n_of_k_class_is_answered_by_an_unsent_part_before_a_copy() {
+    let mut world = World::new(settings(), 8);
+    world.warm_up(20);
+    // Six of eight are needed, and one extra may be asked for: one is left.
+    let (id, actions) = world.query(1, &[0, 1, 2, 3, 0, 1, 2, 3]);
+    let asked: Vec<Id> = sends(&actions).iter().map(|(part, _)| *part).collect();
+    let unsent = (id + 1..=id + 8).find(|part| !asked.contains(part));
+    let next = (0..40).map(|_| sends(&world.wait(ms(20)))).find(|sent| !sent.is_empty()).expect("a send");
+    assert_eq!(Some(next[0].0), unsent);
+}
+
+#[test]
+fn a_condemned_replica_is_found_sound_again_by_live_parts() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    for _ in 0..30 {
+        world.query(0, &[0]);
+        world.now = world.now + ms(100);
+        world.end_all(Outcome::Ok, |replica| replica != 0);
+    }
+    world.end_all(Outcome::Timeout, |_| true);
+    let mut at_0 = 0;
+    for _ in 0..400 {
+        let (_, actions) = world.query(0, &[0]);
+        at_0 += sends(&actions).iter().filter(|(_, replica)| *replica == 0).count();
+        world.now = world.now + ms(100);
+        world.end_all(Outcome::Ok, |_| true);
+    }
+    assert!(at_0 > 60, "{at_0} of 400: it carries its share again");
+}
+
+#[test]
+fn a_restarted_replica_is_judged_anew() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    for _ in 0..10 {
+        world.query(0, &[0]);
+        world.now = world.now + ms(100);
+        world.end_all(Outcome::Ok, |replica| replica != 0);
+    }
+    let fresh = line(0, Lifecycle::On, Some(world.now - ms(9_000)));
+    let actions = world.tell(vec![Event::ListChanges(vec![fresh])]);
+    let words: Vec<&Action> = actions.iter().filter(|a| matches!(a, Action::Remark(_))).collect();
+    assert!(format!("{words:?}").contains("readmitted"), "{words:?}");
+}
+
+// ---- admission ----
+
+/// Queries keep coming while the replicas answer only so many parts in each 100 ms.
+fn surge(world: &mut World, class: usize, tenants: &[usize]) -> (Vec<Id>, u32) {
+    let (mut declined, mut asked) = (Vec::new(), 0);
+    for round in 0..80 {
+        for tenant in tenants {
+            let (id, mut events) = world.query_events(class, &[0, 1, 2, 3], ms(3000));
+            if let Event::Query { tenant: field, .. } = &mut events[0] {
+                *field = Some(*tenant);
+            }
+            asked += 1;
+            let actions = world.tell(events);
+            if round > 20 && sends(&actions).is_empty() && !finals(&actions).is_empty() {
+                declined.push(id);
+            }
+        }
+        world.now = world.now + ms(100);
+        let due: Vec<(Id, u32)> = world.out.keys().take(6).copied().collect();
+        let events = due.into_iter().map(|(part, n)| world.ended(part, n, Outcome::Ok)).collect();
+        world.tell(events);
+        let gone: Vec<(Id, u32)> = world
+            .last
+            .iter()
+            .filter_map(
+                |a| if let Action::Cancel { part, attempt } = a { Some((*part, *attempt)) } else { None },
+            )
+            .collect();
+        let events = gone.into_iter().filter(|key| world.out.contains_key(key)).collect::<Vec<_>>();
+        let events = events.into_iter().map(|(part, n)| world.ended(part, n, Outcome::Cancelled)).collect();
+        world.tell(events);
+    }
+    (declined, asked)
+}
+
+#[test]
+fn a_surge_is_declined_early_with_a_time_to_come_back_and_some_queries_still_pass() {
+    let mut world = World::new(settings(), 4);
+    let (declined, asked) = surge(&mut world, 0, &[0, 0, 0]);
+    assert!(declined.len() > 60, "{} of {asked}", declined.len());
+    assert!((declined.len() as u32) < asked - 60, "{} of {asked}", declined.len());
+}
+
+#[test]
+fn no_time_to_come_back_is_named_where_clients_are_not_told_any() {
+    let mut set = settings();
+    set.limits.retry_after = false;
+    let mut world = World::new(set, 4);
+    let (_, events) = world.query_events(0, &[0], ms(2));
+    let actions = world.tell(events);
+    assert!(matches!(finals(&actions)[..], [Action::Refuse { retry_after: None, .. }]));
+}
+
+#[test]
+fn a_tenant_beyond_its_quota_is_declined_first() {
+    let mut world = World::new(settings(), 4);
+    let (mut per_tenant, mut order) = ([0, 0], Vec::new());
+    let (declined, _) = surge(&mut world, 0, &[0, 1, 0]);
+    for id in declined {
+        // Three queries of five ids each make a round.
+        order.push(usize::from((id - 1) / 5 % 3 == 1));
+    }
+    order.iter().for_each(|tenant| per_tenant[*tenant] += 1);
+    assert!(per_tenant[1] > per_tenant[0] / 2 + 5, "declined by tenant: {per_tenant:?}");
+}
+
+#[test]
+fn a_late_try_that_cannot_be_done_in_its_time_is_declined_at_once() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20); // a part takes 100 ms, a try is given 3 s
+    let (id, events) = world.query_events(0, &[0, 1], ms(150));
+    let actions = world.tell(events);
+    assert!(matches!(finals(&actions)[..], [Action::Refuse { query, .. }] if query == id));
+    assert!(sends(&actions).is_empty());
+}
