Decline a query whose shard has no replica with room

A replica with all out that it answers in good time (failed attempts weigh double) no longer counts as a holder at admission. Should also cover hot shards, a full queue and a fast failing last holder. May hurt a class that needs very many shards in a short burst of failures.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,6 +32,8 @@
 const FLOW_HALF: Micros = Micros(1_000_000); // half-life of the flow of answers
 const LIMIT_SHARE: f64 = 0.6; // share of the aim that parts may take on average while under strain
 const LEAST_LIMIT: f64 = 2.0; // parts out for each replica that admission always allows
+const LEAST_ROOM: f64 = 8.0; // parts out at one replica that admission always allows
+const GHOST_WEIGHT: f64 = 2.0; // of a failed attempt against a part out, when room is judged
 const OVER_QUOTA: f64 = 1.3; // a tenant beyond this multiple of our share of its quota is over it
 const WORTH_WAITING: f64 = 0.5; // under strain, a lower late worth is not waited for
 const LEAST_TIME: f64 = 2.0; // a query takes this multiple of the typical part at least
@@ -236,7 +238,11 @@
         if outcome == Outcome::Ok {
             let class = &self.set.classes[flight.slot / 2];
             let steps = if class.second_step > 0 { 2.0 } else { 1.0 };
-            self.flow.add(self.now, FLOW_HALF, class.aim.over(SECOND) / steps);
+            let allowed = class.aim.over(SECOND) / steps;
+            self.flow.add(self.now, FLOW_HALF, allowed);
+            if let Some(replica) = self.replicas.get_mut(&flight.replica) {
+                replica.flow.add(self.now, FLOW_HALF, allowed);
+            }
             let ring = &mut self.slots[flight.slot].ring;
             ring.push_back((self.now, took));
             if ring.len() > RING {
@@ -396,8 +402,15 @@
         let takes = (self.typical(query.class * 2).times(LEAST_TIME) + second).min(class.aim.times(0.5));
         let worthless = density <= 0.0 || self.stop_at(query) - self.now < takes;
         // A query whose shards are down by the list's own word can't be answered; with no list it waits.
+        // The same holds where each of a shard's replicas has all out that it answers in good time: a shard
+        // of which few holders are left, or which everybody wants, must not hold up what else is asked.
         let on = |replica: &Replica| replica.lifecycle == Lifecycle::On;
-        let up = |part: &&Part| self.holders(part.shard).any(|(_, replica)| on(replica));
+        let has_room = |replica: &Replica| {
+            let limit = (replica.flow.per_second(self.now, FLOW_HALF) * LIMIT_SHARE).max(LEAST_ROOM);
+            limit > f64::from(replica.out) + GHOST_WEIGHT * replica.ghosts.len() as f64
+        };
+        let free = |(_, replica): (&ReplicaId, &Replica)| on(replica) && has_room(replica);
+        let up = |part: &&Part| self.holders(part.shard).any(free);
         let listed = self.replicas.values().any(on);
         let reach: f64 = query.parts.iter().filter(up).map(|part| part.weight).sum();
         let parts = query.parts.len() as f64 * class.need;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What the decision module remembers: types only, no decision and no value.
 
 use crate::interface::{Id, Lifecycle, Micros, ReplicaId};
+use crate::sums::Fading;
 use std::collections::VecDeque;
 
 /// One attempt of a part, as its query remembers it.
@@ -59,6 +60,7 @@
     pub(crate) ghosts: Vec<Micros>,   // until when attempts that failed keep counting
     pub(crate) pace: f64,             // recent latency over the typical one
     pub(crate) pace_at: Micros,       // when that was last heard of
+    pub(crate) flow: Fading,          // its answers of late, each as the time its class may take
     pub(crate) last_ok: Micros,       // when it last answered anything
     pub(crate) factor: f64,           // pace against its peers, 1 unless far slower
     pub(crate) condemned: bool,       // as last logged
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -654,3 +654,25 @@
     assert!(matches!(finals(&actions)[..], [Action::Refuse { query, .. }] if query == id));
     assert!(sends(&actions).is_empty());
 }
+
+#[test]
+fn a_shard_whose_last_holder_turns_parts_away_does_not_hold_up_the_others() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    world.tell(vec![Event::ListChanges(vec![line(1, Lifecycle::Gone, None)])]);
+    // Shard 0 is left with replica 0, which is full; shard 2 lives on 2 and 3.
+    let (mut shut, mut other) = (0, 0);
+    for round in 0..60 {
+        let (_, actions) = world.query(0, &[0, 2]);
+        let declined = !finals(&actions).is_empty() && sends(&actions).is_empty();
+        shut += u32::from(round > 10 && declined);
+        let (_, actions) = world.query(0, &[2]);
+        other += u32::from(sends(&actions).is_empty());
+        world.now = world.now + ms(20);
+        world.end_all(Outcome::Full, |replica| replica == 0);
+        world.now = world.now + ms(60);
+        world.end_all(Outcome::Ok, |replica| replica != 0);
+    }
+    assert!(shut > 15, "{shut} of 49 declined at once");
+    assert_eq!(other, 0, "what needs shard 2 alone is not touched");
+}
