--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,7 +35,6 @@
 const LEAST_ROOM: f64 = 8.0; // parts out at one replica that admission always allows
 const GHOST_WEIGHT: f64 = 2.0; // of a failed attempt against a part out, when room is judged
 const OVER_QUOTA: f64 = 1.3; // a tenant beyond this multiple of our share of its quota is over it
-const WORTH_WAITING: f64 = 0.5; // under strain, a lower late worth is not waited for
 const LEAST_TIME: f64 = 2.0; // a query takes this multiple of the typical part at least
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
 const EPS: f64 = 0.0001; // sums of weights may come up this short
@@ -421,14 +420,14 @@
 
     // ---- one query's life ----
 
-    /// When the query is given up: at the client's end, or at the aim if nothing is earned after it or
-    /// if, under strain, what it still earns is less than what another query earns with the same work.
+    /// When the query is given up: at the client's end, or at the aim if nothing is earned after it. A query
+    /// ended before that is asked again by its client, which costs more than the parts it still holds.
     fn stop_at(&self, query: &Query) -> Micros {
         let margin = self.set.tick.times(2.0);
         let class = &self.set.classes[query.class];
         // A partial answer in time counts as what waiting has to beat, where one may be given.
         let partial = if class.floor < class.need { class.partial * class.floor / class.need } else { 0.0 };
-        let late = class.late_worth > partial.max(if self.limit.is_some() { WORTH_WAITING } else { 0.0 });
+        let late = class.late_worth > partial;
         (if late { query.end_at } else { query.end_at.min(query.aim_at) }) - margin
     }
 
