Do not take a hurried first try for a late repeat

Where clients mark repeats, only marked tries tell how long the client has waited; elsewhere a run of 16 short tries switches that reading off. Also covers clients that change their time-outs. May hurt where unmarked retries outnumber first tries for long.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -129,6 +129,10 @@
         classes,
         tenants: tenants.collect::<Parsed<_>>()?,
         over_quota_worth: maybe(options, "over_share_worth", number)?.unwrap_or(1.0),
+        marks_repeats: match options.get("clients") {
+            Some(clients) => maybe(clients, "marks_retry", flag)?.unwrap_or(false),
+            None => false,
+        },
         must_ask: text(options, "discovery")? != "push",
         cells: id(info, "positions")?,
         span: id(info, "span")?,
@@ -226,6 +230,7 @@
                     tenant: tenant.and_then(|name| place(&self.tenants, name)),
                     expires_in: micros(line, "expires_in")?,
                     hint,
+                    repeat: maybe(line, "repeat", flag)?.unwrap_or(false),
                 }
             }
             "CLOSED_ATTEMPT" => Event::AttemptEnded {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -139,6 +139,8 @@
     pub tenants: Vec<Tenant>,
     /// Worth of what a tenant sends beyond its share, as a share of the usual.
     pub over_quota_worth: f64,
+    /// Clients mark the queries that they repeat.
+    pub marks_repeats: bool,
     /// The list comes only when asked for.
     pub must_ask: bool,
     /// Number of cells.
@@ -229,6 +231,8 @@
         expires_in: Micros,
         /// Rough work of all its parts, where hinted.
         hint: Option<Micros>,
+        /// The client has asked before, where clients mark that.
+        repeat: bool,
     },
     /// A part of a query.
     Part {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,7 @@
 const LEAST_LIMIT: f64 = 2.0; // parts out for each replica that admission always allows
 const LEAST_ROOM: f64 = 8.0; // parts out at one replica that admission always allows
 const GHOST_WEIGHT: f64 = 2.0; // of a failed attempt against a part out, when room is judged
+const SHORT_TRIES: u32 = 16; // so many short tries in a row are no repeats
 const OVER_QUOTA: f64 = 1.3; // a tenant beyond this multiple of our share of its quota is over it
 const LEAST_TIME: f64 = 2.0; // a query takes this multiple of the typical part at least
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
@@ -52,7 +53,7 @@
     queries: BTreeMap<u64, Query>,
     flights: BTreeMap<(Id, u32), Flight>,
     slots: Vec<Slot>,          // by class and step
-    longest_try: Vec<Micros>,  // by class: the longest time a try was given
+    tries: Vec<(Micros, u32)>, // by class: the longest time a try was given, shorter ones since
     taken: VecDeque<Micros>,   // queries and parts, for the retry budget
     further: VecDeque<Micros>, // further attempts, for the retry budget
     sent: Fading,              // parts sent, and of them ...
@@ -79,7 +80,7 @@
             now,
             born: now,
             slots: (0..classes * 2).map(|_| Slot::default()).collect(),
-            longest_try: vec![Micros(0); classes],
+            tries: vec![(Micros(0), 0); classes],
             tenants: vec![Fading::default(); settings.tenants.len()],
             ask_wait: ASK_WAIT,
             set: settings,
@@ -135,18 +136,21 @@
                 self.ask_wait = self.ask_wait.times(2.0).min(self.set.rules.ask_within.times(0.25));
                 self.actions.push(Action::Remark("list lost, asking again".into()));
             }
-            Event::Query { id, number, class, tenant, expires_in, hint } => {
+            Event::Query { id, number, class, tenant, expires_in, hint, repeat } => {
                 self.take();
                 let Some(settings) = self.set.classes.get(*class) else {
                     self.actions.push(Action::Refuse { query: *id, retry_after: None }); // nothing of it ran
                     return;
                 };
-                // A try shorter than the longest seen was cut by the client's deadline: that tells how
-                // long the client has waited already. Otherwise it is taken for a first try.
-                let longest = self.longest_try[*class].max(*expires_in);
-                self.longest_try[*class] = longest;
-                let cut = expires_in.over(longest) < 0.99;
-                let waited = if cut { settings.deadline - *expires_in } else { Micros(0) };
+                // A repeated try shorter than the longest seen was cut by the client's deadline: that tells how
+                // long the client has waited. Where repeats are not marked every short try is taken for one,
+                // unless tries have become short altogether: then clients are in a hurry and nothing is known.
+                let (longest, short) = self.tries[*class];
+                let full = expires_in.over(longest) > 0.99;
+                let short = if full { 0 } else { short + 1 };
+                self.tries[*class] = (longest.max(*expires_in), short);
+                let again = if self.set.marks_repeats { *repeat } else { short < SHORT_TRIES };
+                let waited = if again && !full { settings.deadline - *expires_in } else { Micros(0) };
                 let stretch = hint.unwrap_or_default().times(settings.aim_stretch);
                 let aim = (settings.aim + stretch).min(settings.deadline) - waited;
                 let (id, number, class, tenant) = (*id, *number, *class, *tenant);
