--- a/src/logic.rs
+++ b/src/logic.rs
@@ -402,8 +402,7 @@
         let class = &self.set.classes[query.class];
         // What can't be done in the time left is declined at once; mostly these are tries repeated late.
         let second = if class.second_step > 0 { self.typical(query.class * 2 + 1) } else { Micros(0) };
-        let least = if query.aim_at - self.now < class.aim { LEAST_TIME } else { 1.0 }; // a first try: one part
-        let takes = (self.typical(query.class * 2).times(least) + second).min(class.aim.times(0.5));
+        let takes = (self.typical(query.class * 2).times(LEAST_TIME) + second).min(class.aim.times(0.5));
         let worthless = density <= 0.0 || self.stop_at(query) - self.now < takes;
         // A query whose shards are down by the list's own word can't be answered; with no list it waits.
         // The same holds where each of a shard's replicas has all out that it answers in good time: a shard
