--- a/src/logic.rs
+++ b/src/logic.rs
@@ -143,9 +143,9 @@
                     self.actions.push(Action::Refuse { query: *id, retry_after: None }); // nothing of it ran
                     return;
                 };
-                // A repeated try shorter than the longest seen was cut by the client's deadline: that tells how
-                // long the client has waited. Where repeats are not marked every short try is taken for one,
-                // unless tries have become short altogether: then clients are in a hurry and nothing is known.
+                // A repeated try shorter than the longest seen was cut by the client's deadline: that tells
+                // how long the client has waited. Where repeats are not marked every short try is taken for
+                // one, unless tries have become short altogether: clients are in a hurry, nothing is known.
                 let (longest, short) = self.tries[*class];
                 let full = expires_in.over(longest) > 0.99;
                 let short = if full { 0 } else { short + 1 };
