Bound the waits for the list where no time to ask is stated

Where the list must be asked for and no time is stated for it, a failed call would have been repeated in every batch. Waits are now bounded as if four seconds were stated.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -87,6 +87,8 @@
             set: settings,
             ..FrontNode::default()
         };
+        // Where no time is stated within which the list must be asked for, waits still need a bound.
+        node.set.rules.ask_within = node.set.rules.ask_within.max(ASK_WAIT.times(20.0));
         // Front nodes often restart together; the list service should not meet them all at once.
         let spread = ASK_WAIT.times(0.25 * f64::from(node.set.fleet_size));
         node.ask_at = now + spread.min(node.set.rules.ask_within.times(0.25)).times(node.rng.next());
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -763,3 +763,18 @@
     }
     assert!(at_0 >= 4, "{at_0} of 20");
 }
+
+#[test]
+fn the_list_service_is_not_flooded_where_no_time_to_ask_is_stated() {
+    let mut set = settings();
+    (set.must_ask, set.rules.ask_within) = (true, Micros(0));
+    let mut world = World::new(set, 0);
+    let mut asked = 0;
+    for _ in 0..1000 {
+        if world.wait(ms(10)).contains(&Action::WatchList) {
+            asked += 1;
+            world.tell(vec![Event::ListFailed]);
+        }
+    }
+    assert!((5..=40).contains(&asked), "{asked} in ten seconds");
+}
