Wait past the aim only where late worth beats the price of the work

The price of wasted work, twice where a second step is still to come, is what late worth has to beat. Covers deployments with dear work or hardly any late worth. May hurt where work would be idle anyway.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -129,6 +129,10 @@
         classes,
         tenants: tenants.collect::<Parsed<_>>()?,
         over_quota_worth: maybe(options, "over_share_worth", number)?.unwrap_or(1.0),
+        waste_price: match options.get("fees") {
+            Some(fees) => maybe(fees, "waste", number)?.unwrap_or(0.0),
+            None => 0.0,
+        },
         marks_repeats: match options.get("clients") {
             Some(clients) => maybe(clients, "marks_retry", flag)?.unwrap_or(false),
             None => false,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -139,6 +139,8 @@
     pub tenants: Vec<Tenant>,
     /// Worth of what a tenant sends beyond its share, as a share of the usual.
     pub over_quota_worth: f64,
+    /// Price of work that serves no answer, as a share of the worth asked for.
+    pub waste_price: f64,
     /// Clients mark the queries that they repeat.
     pub marks_repeats: bool,
     /// The list comes only when asked for.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -432,14 +432,16 @@
 
     // ---- one query's life ----
 
-    /// When the query is given up: at the client's end, or at the aim if nothing is earned after it. A query
+    /// When the query is given up: at the client's end, or at the aim if too little is earned later. A query
     /// ended before that is asked again by its client, which costs more than the parts it still holds.
     fn stop_at(&self, query: &Query) -> Micros {
         let margin = self.set.tick.times(2.0);
         let class = &self.set.classes[query.class];
         // A partial answer in time counts as what waiting has to beat, where one may be given.
         let partial = if class.floor < class.need { class.partial * class.floor / class.need } else { 0.0 };
-        let late = class.late_worth > partial;
+        // What is left to earn has to beat the price of work that may serve nothing, of each step to come.
+        let steps = if query.step == 1 && class.second_step > 0 { 2.0 } else { 1.0 };
+        let late = class.late_worth > partial.max(self.set.waste_price * steps);
         (if late { query.end_at } else { query.end_at.min(query.aim_at) }) - margin
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -34,6 +34,7 @@
         classes: vec![class(1.0), class(0.75)],
         tenants: vec![Tenant { quota_per_s: 100.0 }, Tenant { quota_per_s: 1.0 }],
         over_quota_worth: 0.05,
+        waste_price: 0.0,
         marks_repeats: false,
         must_ask: false,
         cells: 4,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -778,3 +778,18 @@
     }
     assert!((5..=40).contains(&asked), "{asked} in ten seconds");
 }
+
+#[test]
+fn late_worth_is_waited_for_only_where_it_pays_for_the_work() {
+    for (price, second_step, by) in
+        [(0.0, 0, ms(3000)), (0.15, 0, ms(3000)), (0.15, 2, ms(1000)), (0.3, 0, ms(1000))]
+    {
+        let mut set = settings(); // worth 0.2 after an aim of one second
+        (set.waste_price, set.classes[0].second_step) = (price, second_step);
+        let mut world = World::new(set, 4);
+        let start = world.now;
+        world.query(0, &[0]);
+        while finals(&world.wait(ms(5))).is_empty() {}
+        assert!(world.now - start <= by && world.now - start > by - ms(50), "price {price}, {second_step}");
+    }
+}
