--- a/src/logic.rs
+++ b/src/logic.rs
@@ -513,10 +513,13 @@
     }
 
     /// The count by which replicas are compared: our parts out, failed ones that still count, and the part
-    /// to be sent, times the factor of a far slower replica, over the share a cold one is known to have.
-    fn load(&self, replica: &Replica) -> f64 {
+    /// to be sent, times the factor of a far slower replica. A cold one counts for more by the share it lacks,
+    /// but not for that share of parts: with little out anywhere it would get none from many front nodes,
+    /// and its peers all that is its own.
+    fn load(&self, replica: &Replica, draw: f64) -> f64 {
         let count = f64::from(replica.out) + replica.ghosts.len() as f64 + 1.0;
-        count * replica.factor / self.warmth(replica)
+        let warmth = self.warmth(replica);
+        count * replica.factor / if draw < warmth { 1.0 } else { warmth }
     }
 
     /// The best replica for a part among those the gate lets through, its load, and a draw for ties.
@@ -526,7 +529,8 @@
             let tried = part.attempts.iter().any(|attempt| attempt.replica == *id);
             // Ties fall at random: a hash of the seed, the part and the replica, fixed for the attempt.
             let tie = mix(self.rng.0 ^ (u64::from(part.id) << 32) ^ u64::from(*id));
-            let mine = (tried, self.load(replica), tie);
+            let draw = mix(self.rng.0 ^ (u64::from(*id) << 32) ^ u64::from(part.id));
+            let mine = (tried, self.load(replica, draw), tie);
             if best.is_none_or(|best| mine < best.0) {
                 best = Some((mine, *id));
             }
