Share out a cold replica by work usually answered, from a drawn phase

They had never restarted and stood next to fast flappers on the ring; the attempts by cell showed 4 to 15 attempts in 5 s at each returned replica against up to 159 at the sound neighbour, where 40 is usual. Rival causes: a full front node (ruled out: as many queries reached the module as clients tried) and the count divided by warmth (ruled out by the try before). The gate counted each front node's even share, one part in 10 to 20 s, from the replica's start, so that a replica up for 3 s got nothing.

Now the share is also bounded by the work that a replica of its size answers this node on average: summed over all nodes that is less than it can do warm. The first part may go at a moment drawn anew for each start. Also covers restarts of any kind at any number of front nodes. May hurt where replicas fail while cold.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -63,6 +63,8 @@
     tenants: Vec<Fading>,      // queries of each tenant
     densities: VecDeque<f64>,  // worth for work of the latest queries
     flow: Fading,              // answers of late, each as the time its class may take
+    served: Fading,            // work answered, and of it ...
+    usual: f64,                // ... the part of a core that a replica of size 1 gets from us
     limit: Option<f64>,        // parts out that admission allows, while under strain
     asked: Option<Micros>,     // when the list was asked for, if a watch may stand
     told: bool,                // the watch has brought news since
@@ -202,8 +204,9 @@
             (self.told, self.ask_wait) = (true, ASK_WAIT);
         }
         for line in lines {
-            let now = self.now;
-            let fresh = || Replica { started: line.started, pace: 1.0, factor: 1.0, ..Replica::default() };
+            let (now, phase) = (self.now, self.rng.next());
+            let (started, pace, factor) = (line.started, 1.0, 1.0);
+            let fresh = || Replica { started, pace, factor, phase, ..Replica::default() };
             let replica = self.replicas.entry(line.replica).or_insert_with(fresh);
             if line.started.is_some() && line.started != replica.started {
                 // A new process: what its predecessor did says nothing of it.
@@ -211,6 +214,7 @@
                 replica.ghosts.clear();
                 replica.last_ok = now;
                 replica.started = line.started;
+                replica.phase = phase;
             }
             (replica.cell, replica.size, replica.lifecycle) = (line.cell, line.size, line.lifecycle);
         }
@@ -247,6 +251,8 @@
             }
         }
         if outcome == Outcome::Ok {
+            let work = self.slots[flight.slot].work.unwrap_or(took).over(SECOND);
+            self.served.add(self.now, HALF_LIFE, work);
             let class = &self.set.classes[flight.slot / 2];
             let steps = if class.second_step > 0 { 2.0 } else { 1.0 };
             let allowed = class.aim.over(SECOND) / steps;
@@ -311,6 +317,8 @@
             [slot.work, slot.typical, slot.late] = [0.25, 0.5, 0.95].map(|share| mark(&all, share));
             slot.recent = mark(&fresh, 0.8);
         }
+        let size: f64 = self.replicas.values().filter(|r| r.lifecycle == Lifecycle::On).map(|r| r.size).sum();
+        self.usual = self.served.per_second(now, HALF_LIFE) / size.max(EPS);
         let mut paces: BTreeMap<ReplicaId, f64> = BTreeMap::new();
         for (id, replica) in self.replicas.iter_mut().filter(|(_, r)| r.lifecycle == Lifecycle::On) {
             replica.ghosts.retain(|until| *until > now);
@@ -586,10 +594,12 @@
         (cold + (1.0 - cold) * grown).max(0.01)
     }
 
-    /// Work sent to a cold replica in any window of `fall` stays within this front node's share of what
-    /// it stands, taking it for one core at the speed warm ones show. All work counts, copies too. Where
-    /// the share is less than one part, parts are spaced out instead. Just after our own start we know
-    /// neither the cost of a part nor what we sent before: nothing goes to a cold replica at first.
+    /// Work sent to a cold replica in any window of `fall` stays within this front node's share of what it
+    /// stands: an even share of one core at the speed warm ones show, or the work that a replica of its size
+    /// answers us on average, which added up over all front nodes is less than it can do when warm. All work
+    /// counts, copies too. Where the share is less than one part, parts are spaced out, from a moment drawn
+    /// anew for each start, so that many front nodes neither come at once nor all stay away. Just after our
+    /// own start we know neither the cost of a part nor what we sent before: nothing goes to a cold replica.
     fn within_cold_budget(&self, replica: &Replica, slot: usize) -> bool {
         let warmth = self.warmth(replica);
         let rules = &self.set.rules;
@@ -597,14 +607,15 @@
         if self.now - self.born < rules.fall {
             return false;
         }
-        let share = COLD_MARGIN / f64::from(self.set.fleet_size.max(1));
-        let rate = share * rules.tip_multiple * warmth * replica.size.min(1.0);
+        let even = replica.size.min(1.0) / f64::from(self.set.fleet_size.max(1));
+        let rate = COLD_MARGIN * rules.tip_multiple * warmth * even.max(self.usual * replica.size);
         let budget = rate * rules.fall.0 as f64;
         let work = self.slots[slot].work.map_or(budget, |work| work.0 as f64);
         let lately = replica.recent.iter().filter(|(at, _)| self.now - *at <= rules.fall);
         let spent: f64 = lately.map(|(_, work)| work).sum();
-        let last = replica.recent.back().map_or(started, |(at, _)| *at).max(started).max(self.born);
-        let spaced = (self.now - last).0 as f64 > work / rate;
+        let last = replica.recent.back().map(|(at, _)| *at).filter(|at| *at > started);
+        let wait = if last.is_some() { 1.0 } else { replica.phase };
+        let spaced = (self.now - last.unwrap_or(started.max(self.born))).0 as f64 > wait * work / rate;
         spent + work <= budget || (work > budget && spaced)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -65,6 +65,7 @@
     pub(crate) factor: f64,           // pace against its peers, 1 unless far slower
     pub(crate) condemned: bool,       // as last logged
     pub(crate) call: (u64, u64, u32), // round, number and parts of the call being put together
+    pub(crate) phase: f64,            // drawn at its start: when in a spaced wait its first part may go
     pub(crate) recent: VecDeque<(Micros, f64)>, // work sent in the last `fall`
 }
 
