--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -86,9 +86,13 @@
 
 impl World {
     pub fn new(settings: Settings, replicas: u32) -> World {
+        World::seeded(settings, replicas, 7)
+    }
+
+    pub fn seeded(settings: Settings, replicas: u32, seed: u64) -> World {
         let now = ms(50_000);
         let mut world = World {
-            node: FrontNode::new(settings, 7, now),
+            node: FrontNode::new(settings, seed, now),
             now,
             next: 1,
             out: BTreeMap::new(),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -46,12 +46,12 @@
 
 #[test]
 fn parts_go_to_the_shards_and_replicas_with_fewest_of_our_parts_out() {
-    let mut world = World::new(settings(), 4);
-    // Shard 0 lives on replicas 0 and 1: both get a part, so the two parts differ in replica.
-    let (_, first) = world.query(0, &[0, 0]);
+    let mut world = World::new(settings(), 8);
+    // Shard 0 lives on replicas 0, 1, 4 and 5: four parts of it go to four replicas.
+    let (_, first) = world.query(0, &[0, 0, 0, 0]);
     let mut busy: Vec<ReplicaId> = sends(&first).iter().map(|(_, replica)| *replica).collect();
     busy.sort();
-    assert_eq!(busy, [0, 1]);
+    assert_eq!(busy, [0, 1, 4, 5]);
     // Of shards 0, 2, 2, 2 three are needed; shard 0 has only busy replicas and is left out.
     let (id, second) = world.query(1, &[0, 2, 2, 2]);
     assert!(sends(&second).iter().all(|(part, _)| *part != id + 1), "{second:?}");
@@ -370,6 +370,39 @@
     }
 }
 
+#[test]
+fn many_light_front_nodes_share_a_cold_replica_without_starving_or_flooding_it() {
+    // Fifty front nodes with a query a second each; alone none may send a whole part in a window.
+    let mut set = settings();
+    set.fleet_size = 50;
+    let mut worlds: Vec<World> = (0..50).map(|seed| World::seeded(set.clone(), 4, seed)).collect();
+    let mut sent: Vec<Micros> = Vec::new();
+    let restart = ms(60_000);
+    for step in 0..400 {
+        for (n, world) in (0..).zip(&mut worlds) {
+            world.now = ms(50_000 + step * 50);
+            if world.now == restart {
+                world.tell(vec![Event::ListChanges(vec![line(0, Lifecycle::On, Some(restart))])]);
+            }
+            if (step + n) % 20 == 0 {
+                let (_, actions) = world.query(0, &[0, 3]);
+                let cold = |r: ReplicaId| r == 0 && world.now >= restart;
+                sent.extend(sends(&actions).iter().filter(|(_, r)| cold(*r)).map(|_| world.now));
+            } else if (step + n) % 20 == 2 {
+                world.end_all(Outcome::Ok, |_| true);
+            }
+        }
+    }
+    let within = |from: Micros, span| sent.iter().filter(|at| **at >= from && **at - from <= span).count();
+    // Warm, the four replicas answer 100 parts a second, 25 each: twice that times the warmth is the limit.
+    for at in sent.iter().filter(|at| **at - restart < ms(9_000)) {
+        let warmth = 0.2 + 0.8 * (*at - restart).over(ms(10_000));
+        assert!(within(*at, ms(1000)) as f64 <= 2.0 * warmth * 25.0, "at warmth {warmth}");
+    }
+    // Counted from its start, an even share of one core would let the first part go after ten seconds or so.
+    assert!(within(restart, ms(3_000)) >= 5, "{} in the first three seconds", within(restart, ms(3_000)));
+}
+
 #[test]
 fn just_after_its_own_start_a_front_node_sends_nothing_to_a_cold_replica() {
     let mut world = World::new(settings(), 0);
@@ -582,11 +615,13 @@
 fn a_restarted_replica_is_judged_anew() {
     let mut world = World::new(settings(), 4);
     world.warm_up(20);
-    for _ in 0..10 {
-        world.query(0, &[0]);
-        world.now = world.now + ms(100);
-        world.end_all(Outcome::Ok, |replica| replica != 0);
-    }
+    world.query(0, &[0, 0]);
+    world.now = world.now + ms(100);
+    world.end_all(Outcome::Ok, |replica| replica != 0);
+    world.wait(ms(900));
+    let actions = world.end_all(Outcome::Timeout, |replica| replica == 0);
+    let before = format!("{:?}{:?}", actions, world.wait(ms(5)));
+    assert!(!before.contains("readmitted"), "{before}");
     let fresh = line(0, Lifecycle::On, Some(world.now - ms(9_000)));
     let actions = world.tell(vec![Event::ListChanges(vec![fresh])]);
     let words: Vec<&Action> = actions.iter().filter(|a| matches!(a, Action::Remark(_))).collect();
