Give up a query that two replicas drop before any part is answered

The servers were not the cause: the attempts of two queries alone ended in resets after 3 to 50 ms, a fraction of a part time, at every server they met, and not one of their parts was ever answered, while queries caught in the same second had answered parts before or after. Rival causes: servers dying by themselves (they would strike queries alike), connection limits (these show as failed connects, not resets). Our own second and third attempts did most of the killing.

A drop at one replica now stops further sends while an attempt may still be answered, a second replica's drop with nothing answered ends the query. May hurt a sound query whose first two replicas die within one part time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 use crate::interface::*;
 use crate::state::{Attempt, Flight, Part, Query, Replica, Slot};
 use crate::sums::{fade, mix, quantile, Fading, Random};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // Tuned values. None comes from a deployment; each is a ratio, or a span against which ratios settle.
 const SECOND: Micros = Micros(1_000_000);
@@ -39,6 +39,7 @@
 const OVER_QUOTA: f64 = 1.3; // a tenant beyond this multiple of our share of its quota is over it
 const LEAST_TIME: f64 = 2.0; // a query takes this multiple of the typical part at least
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
+const KILLER: usize = 2; // replicas that drop a query's attempts, with nothing answered, before it is given up
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
 /// The decisions of one front node.
@@ -210,11 +211,9 @@
             let replica = self.replicas.entry(line.replica).or_insert_with(fresh);
             if line.started.is_some() && line.started != replica.started {
                 // A new process: what its predecessor did says nothing of it.
-                replica.pace = 1.0;
                 replica.ghosts.clear();
-                replica.last_ok = now;
+                (replica.pace, replica.last_ok, replica.phase) = (1.0, now, phase);
                 replica.started = line.started;
-                replica.phase = phase;
             }
             (replica.cell, replica.size, replica.lifecycle) = (line.cell, line.size, line.lifecycle);
         }
@@ -271,6 +270,7 @@
         part.done |= outcome == Outcome::Ok;
         part.attempts[attempt as usize].open = false;
         part.attempts[attempt as usize].never_ran = never_ran;
+        part.attempts[attempt as usize].reset = outcome == Outcome::Reset;
     }
 
     // ---- judging replicas ----
@@ -343,8 +343,8 @@
             if replica.condemned != (ratio >= if replica.condemned { SLOW_FROM } else { CONDEMNED }) {
                 replica.condemned = !replica.condemned;
                 let word = if replica.condemned { "condemned" } else { "readmitted" };
-                self.actions
-                    .push(Action::Remark(format!("replica {id} {word}, pace {ratio:.1} of its peers")));
+                let text = format!("replica {id} {word}, pace {ratio:.1} of its peers");
+                self.actions.push(Action::Remark(text));
             }
         }
     }
@@ -470,11 +470,24 @@
             query.step += 1; // the parts of a second step come with the next batch
             return query.step == 2 && self.set.classes[query.class].second_step > 0;
         }
-        if self.now >= self.stop_at(query) {
+        // A query that brings down what it touches does harm with each further attempt. One caught by the
+        // harm of another soon has an answered part, which clears it: so after a first drop nothing is sent
+        // while an attempt may yet be answered, and a second replica's drop ends it. Covers any query that
+        // drops connections; hurts one whose first two replicas die by chance within one part time.
+        let attempts = query.parts.iter().flat_map(|part| &part.attempts);
+        let dropped: BTreeSet<ReplicaId> = attempts.filter(|a| a.reset).map(|a| a.replica).collect();
+        let felled = if query.parts.iter().any(|part| part.done) { 0 } else { dropped.len() };
+        if felled >= KILLER {
+            self.actions.push(Action::Remark(format!("query of class {} fells replicas", query.class)));
+        }
+        if felled >= KILLER || self.now >= self.stop_at(query) {
             return self.give_up(query);
         }
         self.cancel_open(query, true);
-        self.dispatch(query, need);
+        let waits = |flight: &Flight| flight.query == query.number && !self.overdue(flight);
+        if felled == 0 || !self.flights.values().any(waits) {
+            self.dispatch(query, need);
+        }
         true
     }
 
@@ -648,7 +661,7 @@
         replica.recent.push_back((now, work));
         let part = &mut query.parts[index];
         let attempt = part.attempts.len() as u32;
-        part.attempts.push(Attempt { replica: id, sent: now, open: true, never_ran: false });
+        part.attempts.push(Attempt { replica: id, sent: now, open: true, never_ran: false, reset: false });
         let flight =
             Flight { replica: id, sent: now, call, slot, cancelled: false, query: query.number, index };
         self.flights.insert((part.id, attempt), flight);
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,6 +10,7 @@
     pub(crate) sent: Micros,
     pub(crate) open: bool,
     pub(crate) never_ran: bool,
+    pub(crate) reset: bool, // its connection dropped
 }
 
 /// A part of a query.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -828,3 +828,45 @@
         assert!(world.now - start <= by && world.now - start > by - ms(50), "price {price}, {second_step}");
     }
 }
+
+// ---- queries that bring down what they touch ----
+
+#[test]
+fn a_query_that_two_replicas_drop_with_nothing_answered_is_given_up_at_once() {
+    let mut world = World::new(settings(), 8);
+    world.warm_up(20);
+    let (id, actions) = world.query(0, &[0, 1, 2, 3]);
+    let parts = sends(&actions);
+    world.now = world.now + ms(10);
+    let first = world.ended(parts[0].0, 0, Outcome::Reset);
+    assert!(sends(&world.tell(vec![first])).is_empty(), "after a first drop nothing more goes out");
+    let second = world.ended(parts[1].0, 0, Outcome::Reset);
+    let actions = world.tell(vec![second]);
+    assert!(matches!(finals(&actions)[..], [Action::Refuse { query, .. }] if query == id), "{actions:?}");
+    let cancelled = actions.iter().filter(|action| matches!(action, Action::Cancel { .. })).count();
+    assert_eq!((sends(&actions).len(), cancelled), (0, 2), "what still waits is taken back");
+}
+
+#[test]
+fn a_query_with_an_answered_part_is_tried_again_however_many_replicas_drop_it() {
+    let mut world = World::new(settings(), 8);
+    world.warm_up(20);
+    let (_, actions) = world.query(0, &[0, 1, 2, 3]);
+    let parts = sends(&actions);
+    world.now = world.now + ms(100);
+    let mut events = vec![world.ended(parts[0].0, 0, Outcome::Ok)];
+    events.extend(parts[1..].iter().map(|(part, _)| world.ended(*part, 0, Outcome::Reset)));
+    let actions = world.tell(events);
+    assert_eq!((sends(&actions).len(), finals(&actions).len()), (3, 0));
+}
+
+#[test]
+fn a_single_dropped_part_is_tried_again_when_nothing_else_may_answer() {
+    let mut world = World::new(settings(), 8);
+    world.warm_up(20);
+    let (_, actions) = world.query(0, &[0]);
+    let (part, dropped) = sends(&actions)[0];
+    let event = world.ended(part, 0, Outcome::Reset);
+    let next = sends(&world.tell(vec![event]));
+    assert!(matches!(next[..], [(again, elsewhere)] if again == part && elsewhere != dropped), "{next:?}");
+}
