Try: one part ahead only after drops well before a part's usual time

Undone next: a front node with a query a second seldom sees an early drop before the query that does the harm reaches it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,6 +41,7 @@
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
 const KILLER: usize = 2; // replicas that drop a query's attempts, with nothing answered, before it is given up
 const WARY: Micros = Micros(5_000_000); // after a dropped connection, queries send one part ahead this long
+const EARLY: f64 = 0.5; // a drop before this share of a typical part time is a death, later perhaps a lost answer
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
 /// The decisions of one front node.
@@ -225,11 +226,11 @@
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         let Some(flight) = self.flights.remove(&(part, attempt)) else { return };
         let overdue = self.overdue(&flight);
-        if outcome == Outcome::Reset {
-            self.dropped_at = Some(self.now);
-        }
         let call_over = !self.flights.values().any(|other| other.call == flight.call);
         let seen = took.over(self.typical(flight.slot)).min(PACE_CAP);
+        if outcome == Outcome::Reset && seen < EARLY {
+            self.dropped_at = Some(self.now);
+        }
         if let Some(replica) = self.replicas.get_mut(&flight.replica) {
             replica.out -= u32::from(call_over);
             let pace = Self::pace(replica, self.now);
