--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,8 +40,6 @@
 const LEAST_TIME: f64 = 2.0; // a query takes this multiple of the typical part at least
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
 const KILLER: usize = 2; // replicas that drop a query's attempts, with nothing answered, before it is given up
-const WARY: Micros = Micros(5_000_000); // after a dropped connection, queries send one part ahead this long
-const EARLY: f64 = 0.5; // a drop before this share of a typical part time is a death, later perhaps a lost answer
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
 /// The decisions of one front node.
@@ -74,8 +72,7 @@
     ask_at: Micros,
     ask_wait: Micros,
     wake_at: Option<Micros>,
-    dropped_at: Option<Micros>, // when a connection last dropped with an attempt
-    actions: Vec<Action>,       // decided in this batch
+    actions: Vec<Action>, // decided in this batch
 }
 
 impl FrontNode {
@@ -228,9 +225,6 @@
         let overdue = self.overdue(&flight);
         let call_over = !self.flights.values().any(|other| other.call == flight.call);
         let seen = took.over(self.typical(flight.slot)).min(PACE_CAP);
-        if outcome == Outcome::Reset && seen < EARLY {
-            self.dropped_at = Some(self.now);
-        }
         if let Some(replica) = self.replicas.get_mut(&flight.replica) {
             replica.out -= u32::from(call_over);
             let pace = Self::pace(replica, self.now);
@@ -478,15 +472,11 @@
         }
         // A query that brings down what it touches does harm with each further attempt. One caught by the
         // harm of another soon has an answered part, which clears it: so after a first drop nothing is sent
-        // while an attempt may yet be answered, and a second replica's drop ends it. While connections have
-        // dropped of late, one part goes ahead of the others. Covers any query that drops connections;
-        // hurts one whose first two replicas die by chance within one part time.
+        // while an attempt may yet be answered, and a second replica's drop ends it. Covers any query that
+        // drops connections; hurts one whose first two replicas die by chance within one part time.
         let attempts = query.parts.iter().flat_map(|part| &part.attempts);
-        let unseen = attempts.clone().all(|a| a.never_ran && !a.open);
         let dropped: BTreeSet<ReplicaId> = attempts.filter(|a| a.reset).map(|a| a.replica).collect();
-        let cleared = query.parts.iter().any(|part| part.done);
-        let felled = if cleared { 0 } else { dropped.len() };
-        let wary = !cleared && (felled > 0 || self.dropped_at.is_some_and(|at| self.now - at < WARY));
+        let felled = if query.parts.iter().any(|part| part.done) { 0 } else { dropped.len() };
         if felled >= KILLER {
             self.actions.push(Action::Remark(format!("query of class {} fells replicas", query.class)));
         }
@@ -494,10 +484,9 @@
             return self.give_up(query);
         }
         self.cancel_open(query, true);
-        let young = |flight: &Flight| self.now - flight.sent < self.typical(flight.slot).times(LEAST_TIME);
-        let waits = |flight: &Flight| flight.query == query.number && young(flight);
-        if !wary || !self.flights.values().any(waits) {
-            self.dispatch(query, need, if wary && unseen { 1 } else { usize::MAX });
+        let waits = |flight: &Flight| flight.query == query.number && !self.overdue(flight);
+        if felled == 0 || !self.flights.values().any(waits) {
+            self.dispatch(query, need);
         }
         true
     }
@@ -505,13 +494,13 @@
     /// Sends what the query lacks: parts not sent yet first, lowest score first; then parts whose attempts
     /// have all failed; then copies of overdue ones. So an overdue part of an n-of-k class is answered by
     /// an unsent part before a copy. Then, where any n parts do, one extra while extras are few.
-    fn dispatch(&mut self, query: &mut Query, need: f64, most_sends: usize) {
+    fn dispatch(&mut self, query: &mut Query, need: f64) {
         // In a surge extras would be served before their cancellation arrives: none while shedding.
         let most = EXTRA_SHARE * self.sent.read(self.now, HALF_LIFE);
         let few = self.extras.read(self.now, HALF_LIFE) + 1.0 <= most && self.limit.is_none();
         let mut extra_due = few && !query.extra_asked && query.step == 1 && need < 1.0;
         query.extra_asked = true;
-        for _ in 0..most_sends {
+        loop {
             let mut live = 0.0;
             let mut best: Option<((u8, f64, f64), usize, ReplicaId)> = None;
             for (index, part) in query.parts.iter().enumerate().filter(|(_, part)| part.step == query.step) {
