--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,6 +40,8 @@
 const LEAST_TIME: f64 = 2.0; // a query takes this multiple of the typical part at least
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
 const KILLER: usize = 2; // replicas that drop a query's attempts, with nothing answered, before it is given up
+const WARY: Micros = Micros(5_000_000); // this long after a replica died, queries send one part ahead
+const EARLY: f64 = 0.5; // a drop before this share of a typical part time is a death, later perhaps a lost answer
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
 /// The decisions of one front node.
@@ -72,7 +74,8 @@
     ask_at: Micros,
     ask_wait: Micros,
     wake_at: Option<Micros>,
-    actions: Vec<Action>, // decided in this batch
+    died_at: Option<Micros>, // when a replica was last found dying or dead
+    actions: Vec<Action>,    // decided in this batch
 }
 
 impl FrontNode {
@@ -161,7 +164,10 @@
                 let aim = (settings.aim + stretch).min(settings.deadline) - waited;
                 let (id, number, class, tenant) = (*id, *number, *class, *tenant);
                 let (aim_at, end_at) = (self.now + aim, self.now + *expires_in);
-                let query = Query { id, number, class, tenant, aim_at, end_at, step: 1, ..Query::default() };
+                let repeat = self.set.marks_repeats && *repeat;
+                let step = 1;
+                let query =
+                    Query { id, number, class, tenant, aim_at, end_at, repeat, step, ..Query::default() };
                 // The final answer has a timer of its own, whatever else waits.
                 let left = self.stop_at(&query) - self.now;
                 self.actions.push(Action::Timer(left.max(Micros(0))));
@@ -225,6 +231,9 @@
         let overdue = self.overdue(&flight);
         let call_over = !self.flights.values().any(|other| other.call == flight.call);
         let seen = took.over(self.typical(flight.slot)).min(PACE_CAP);
+        if outcome == Outcome::ConnectFailed || outcome == Outcome::Reset && seen < EARLY {
+            self.died_at = Some(self.now);
+        }
         if let Some(replica) = self.replicas.get_mut(&flight.replica) {
             replica.out -= u32::from(call_over);
             let pace = Self::pace(replica, self.now);
@@ -472,11 +481,18 @@
         }
         // A query that brings down what it touches does harm with each further attempt. One caught by the
         // harm of another soon has an answered part, which clears it: so after a first drop nothing is sent
-        // while an attempt may yet be answered, and a second replica's drop ends it. Covers any query that
-        // drops connections; hurts one whose first two replicas die by chance within one part time.
+        // while an attempt may yet be answered, and a second replica's drop ends it. Where replicas have died
+        // of late, or the client asks again, one part goes ahead of the others if there is time. Covers any
+        // query that drops connections; hurts one whose first two replicas die by chance in one part time.
         let attempts = query.parts.iter().flat_map(|part| &part.attempts);
+        let unseen = attempts.clone().all(|a| a.never_ran && !a.open);
         let dropped: BTreeSet<ReplicaId> = attempts.filter(|a| a.reset).map(|a| a.replica).collect();
-        let felled = if query.parts.iter().any(|part| part.done) { 0 } else { dropped.len() };
+        let cleared = query.parts.iter().any(|part| part.done);
+        let felled = if cleared { 0 } else { dropped.len() };
+        let typical = self.typical(query.class * 2);
+        let time = query.aim_at - self.now > typical.times(LATE_RATIO);
+        let died = query.repeat || self.died_at.is_some_and(|at| self.now - at < WARY);
+        let wary = !cleared && (felled > 0 || died && time);
         if felled >= KILLER {
             self.actions.push(Action::Remark(format!("query of class {} fells replicas", query.class)));
         }
@@ -484,9 +500,10 @@
             return self.give_up(query);
         }
         self.cancel_open(query, true);
-        let waits = |flight: &Flight| flight.query == query.number && !self.overdue(flight);
-        if felled == 0 || !self.flights.values().any(waits) {
-            self.dispatch(query, need);
+        let young = |flight: &Flight| self.now - flight.sent < typical.times(LEAST_TIME);
+        let waits = |flight: &Flight| flight.query == query.number && young(flight);
+        if !wary || !self.flights.values().any(waits) {
+            self.dispatch(query, need, if wary && (unseen || felled > 0) { 1 } else { usize::MAX });
         }
         true
     }
@@ -494,13 +511,13 @@
     /// Sends what the query lacks: parts not sent yet first, lowest score first; then parts whose attempts
     /// have all failed; then copies of overdue ones. So an overdue part of an n-of-k class is answered by
     /// an unsent part before a copy. Then, where any n parts do, one extra while extras are few.
-    fn dispatch(&mut self, query: &mut Query, need: f64) {
+    fn dispatch(&mut self, query: &mut Query, need: f64, most_sends: usize) {
         // In a surge extras would be served before their cancellation arrives: none while shedding.
         let most = EXTRA_SHARE * self.sent.read(self.now, HALF_LIFE);
         let few = self.extras.read(self.now, HALF_LIFE) + 1.0 <= most && self.limit.is_none();
         let mut extra_due = few && !query.extra_asked && query.step == 1 && need < 1.0;
         query.extra_asked = true;
-        loop {
+        for _ in 0..most_sends {
             let mut live = 0.0;
             let mut best: Option<((u8, f64, f64), usize, ReplicaId)> = None;
             for (index, part) in query.parts.iter().enumerate().filter(|(_, part)| part.step == query.step) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,7 @@
     pub(crate) tenant: Option<usize>,
     pub(crate) aim_at: Micros,
     pub(crate) end_at: Micros,
+    pub(crate) repeat: bool, // marked by its client as asked before
     pub(crate) admitted: bool,
     pub(crate) extra_asked: bool,
     pub(crate) step: u8,
