--- a/src/logic.rs
+++ b/src/logic.rs
@@ -66,6 +66,8 @@
     tenants: Vec<Fading>,      // queries of each tenant
     densities: VecDeque<f64>,  // worth for work of the latest queries
     flow: Fading,              // answers of late, each as the time its class may take
+    calls: Fading,             // calls sent ...
+    gap: Micros,               // ... and how long it takes on average until a replica gets the next one
     served: Fading,            // work answered, and of it ...
     usual: f64,                // ... the part of a core that a replica of size 1 gets from us
     limit: Option<f64>,        // parts out that admission allows, while under strain
@@ -234,9 +236,10 @@
         if outcome == Outcome::ConnectFailed || outcome == Outcome::Reset && seen < EARLY {
             self.died_at = Some(self.now);
         }
+        let pace = self.replicas.get(&flight.replica).map_or(1.0, |replica| self.pace(replica));
+        let ghost = GHOST.max(self.gap);
         if let Some(replica) = self.replicas.get_mut(&flight.replica) {
             replica.out -= u32::from(call_over);
-            let pace = Self::pace(replica, self.now);
             match outcome {
                 Outcome::Ok => {
                     replica.last_ok = self.now;
@@ -251,7 +254,7 @@
                 // before the part was overdue is the query's doing: it counts, but not against the pace.
                 _ => {
                     let many = replica.ghosts.len().min(GHOST_GROWTH) as f64;
-                    replica.ghosts.push(self.now + GHOST.times(1.0 + 0.5 * many));
+                    replica.ghosts.push(self.now + ghost.times(1.0 + 0.5 * many));
                     if overdue || outcome != Outcome::Timeout {
                         (replica.pace, replica.pace_at) = (pace.max(seen), self.now);
                     }
@@ -285,8 +288,8 @@
     // ---- judging replicas ----
 
     /// A replica's pace, which drifts back to 1 while nothing is heard of it.
-    fn pace(replica: &Replica, now: Micros) -> f64 {
-        1.0 + (replica.pace - 1.0) * fade(now - replica.pace_at, PACE_HALF)
+    fn pace(&self, replica: &Replica) -> f64 {
+        1.0 + (replica.pace - 1.0) * fade(self.now - replica.pace_at, PACE_HALF.max(self.gap))
     }
 
     fn typical(&self, slot: usize) -> Micros {
@@ -329,10 +332,13 @@
         let size: f64 = self.replicas.values().filter(|r| r.lifecycle == Lifecycle::On).map(|r| r.size).sum();
         self.usual = self.served.per_second(now, HALF_LIFE) / size.max(EPS);
         let mut paces: BTreeMap<ReplicaId, f64> = BTreeMap::new();
-        for (id, replica) in self.replicas.iter_mut().filter(|(_, r)| r.lifecycle == Lifecycle::On) {
-            replica.ghosts.retain(|until| *until > now);
-            paces.insert(*id, Self::pace(replica, now));
+        for (id, replica) in self.replicas.iter().filter(|(_, r)| r.lifecycle == Lifecycle::On) {
+            paces.insert(*id, self.pace(replica));
         }
+        self.replicas.values_mut().for_each(|replica| replica.ghosts.retain(|until| *until > now));
+        // A light front node meets a replica rarely: what it knows of one has to last until it meets it again.
+        let calls = self.calls.per_second(now, HALF_LIFE).max(EPS);
+        self.gap = SECOND.times(paces.len() as f64 / calls).min(HALF_LIFE);
         for flight in self.flights.values().filter(|flight| !flight.cancelled) {
             let Some(replica) = self.replicas.get(&flight.replica) else { continue };
             let silence = now - flight.sent.max(replica.last_ok);
@@ -670,6 +676,7 @@
             replica.call.2 += 1;
         } else {
             self.last_call += 1;
+            self.calls.add(now, HALF_LIFE, 1.0);
             replica.call = (round, self.last_call, 1);
             replica.out += 1;
         }
