--- a/src/logic.rs
+++ b/src/logic.rs
@@ -502,7 +502,14 @@
         if felled >= KILLER {
             self.actions.push(Action::Remark(format!("query of class {} fells replicas", query.class)));
         }
-        if felled >= KILLER || self.now >= self.stop_at(query) {
+        // What has used up its attempts can't land any more: without it there may be no answer to wait for.
+        let most = self.set.limits.attempts as usize;
+        let out =
+            |part: &Part| part.attempts.len() < most || part.attempts.iter().any(|attempt| attempt.open);
+        let mine = query.parts.iter().filter(|part| part.step == query.step);
+        let reach: f64 = mine.filter(|part| part.done || out(part)).map(|part| part.weight).sum();
+        let floor = if query.step == 1 { class.floor } else { 1.0 };
+        if felled >= KILLER || reach < floor - EPS || self.now >= self.stop_at(query) {
             return self.give_up(query);
         }
         self.cancel_open(query, true);
@@ -598,6 +605,7 @@
         if tried == 0 {
             return true;
         }
+        let since = self.now - self.typical(query.class * 2);
         let mut maybe_ran = part.attempts.iter().filter(|attempt| attempt.open || !attempt.never_ran);
         let first = maybe_ran.next().map(|attempt| attempt.sent);
         let repeatable = match class.effect {
@@ -608,9 +616,10 @@
         let open = part.attempts.iter().any(|attempt| attempt.open);
         let here = part.attempts.iter().any(|attempt| attempt.open && attempt.replica == id);
         let most = COPY_FLOOR + COPY_SHARE * self.sent.read(self.now, HALF_LIFE);
-        let storm = self.copies.read(self.now, HALF_LIFE) + 1.0 > most;
+        let storm = first.is_some() && self.copies.read(self.now, HALF_LIFE) + 1.0 > most;
+        let again = part.attempts.iter().any(|attempt| attempt.replica == id && attempt.sent > since);
         let doubled = open && (here || !self.set.limits.may_duplicate);
-        repeatable && !storm && !doubled && self.within_retry_budget()
+        repeatable && !storm && !doubled && !again && self.within_retry_budget()
     }
 
     fn within_retry_budget(&self) -> bool {
@@ -684,6 +693,7 @@
         replica.recent.retain(|(at, _)| now - *at <= fall);
         replica.recent.push_back((now, work));
         let part = &mut query.parts[index];
+        let ran = part.attempts.iter().any(|attempt| !attempt.never_ran);
         let attempt = part.attempts.len() as u32;
         part.attempts.push(Attempt { replica: id, sent: now, open: true, never_ran: false, reset: false });
         let flight =
@@ -691,7 +701,7 @@
         self.flights.insert((part.id, attempt), flight);
         self.sent.add(now, HALF_LIFE, 1.0);
         if attempt > 0 {
-            self.copies.add(now, HALF_LIFE, 1.0);
+            self.copies.add(now, HALF_LIFE, f64::from(u8::from(ran)));
             self.further.push_back(now);
         }
         self.rng.next();
