--- a/src/logic.rs
+++ b/src/logic.rs
@@ -616,7 +616,7 @@
         let open = part.attempts.iter().any(|attempt| attempt.open);
         let here = part.attempts.iter().any(|attempt| attempt.open && attempt.replica == id);
         let most = COPY_FLOOR + COPY_SHARE * self.sent.read(self.now, HALF_LIFE);
-        let storm = first.is_some() && self.copies.read(self.now, HALF_LIFE) + 1.0 > most;
+        let storm = self.copies.read(self.now, HALF_LIFE) + 1.0 > most;
         let again = part.attempts.iter().any(|attempt| attempt.replica == id && attempt.sent > since);
         let doubled = open && (here || !self.set.limits.may_duplicate);
         repeatable && !storm && !doubled && !again && self.within_retry_budget()
@@ -693,7 +693,6 @@
         replica.recent.retain(|(at, _)| now - *at <= fall);
         replica.recent.push_back((now, work));
         let part = &mut query.parts[index];
-        let ran = part.attempts.iter().any(|attempt| !attempt.never_ran);
         let attempt = part.attempts.len() as u32;
         part.attempts.push(Attempt { replica: id, sent: now, open: true, never_ran: false, reset: false });
         let flight =
@@ -701,7 +700,7 @@
         self.flights.insert((part.id, attempt), flight);
         self.sent.add(now, HALF_LIFE, 1.0);
         if attempt > 0 {
-            self.copies.add(now, HALF_LIFE, f64::from(u8::from(ran)));
+            self.copies.add(now, HALF_LIFE, 1.0);
             self.further.push_back(now);
         }
         self.rng.next();
