--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,6 +19,7 @@
 const RING: usize = 64; // latencies kept for each class and step
 const LEAST_SAMPLES: usize = 8; // fewer say nothing
 const LATE_RATIO: f64 = 4.0; // an attempt is never overdue before this multiple of the typical latency
+const LATE_SHARE: f64 = 0.5; // nor after this share of the aim
 const SLOW_FROM: f64 = 2.0; // a replica this much slower than its peers counts for more
 const CONDEMNED: f64 = 4.0; // and from here on it is a last choice and logged
 const PACE_CAP: f64 = 40.0; // no observation makes a replica look slower than this
@@ -300,7 +301,10 @@
 
     fn overdue_after(&self, slot: usize) -> Micros {
         let least = self.typical(slot).times(if self.limit.is_some() { 2.0 } else { 1.0 } * LATE_RATIO);
-        self.slots[slot].late.map_or(least, |late| least.max(late.times(1.1)))
+        // Later than this share of the aim a further attempt comes too late to be of use.
+        let class = &self.set.classes[slot / 2];
+        let most = class.aim.times(if class.second_step > 0 { LATE_SHARE / 2.0 } else { LATE_SHARE });
+        self.slots[slot].late.map_or(least, |late| least.max(late.times(1.1))).min(most)
     }
 
     /// Overdue: out for longer than nearly all attempts of late, wherever they went, so that a slowdown
