--- a/src/logic.rs
+++ b/src/logic.rs
@@ -304,7 +304,7 @@
         // Later than this share of the aim a further attempt comes too late to be of use.
         let class = &self.set.classes[slot / 2];
         let most = class.aim.times(if class.second_step > 0 { LATE_SHARE / 2.0 } else { LATE_SHARE });
-        self.slots[slot].late.map_or(least, |late| least.max(late.times(1.1))).min(most)
+        self.slots[slot].late.map_or(least, |late| least.max(late.times(1.1).min(most)))
     }
 
     /// Overdue: out for longer than nearly all attempts of late, wherever they went, so that a slowdown
