Cap the wait for an overdue part under strain at half the aim

Rivals: the allowance for copies (dropping fast failures from it changed nothing) and the upper quantile of latencies (capping it alone changed nothing); it was the doubling under strain. It now ends at half the aim, but never under four typical times, so that a slowdown of everything still waits. May hurt where a jam is fed by copies of slow, not lost, parts.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -300,11 +300,13 @@
     }
 
     fn overdue_after(&self, slot: usize) -> Micros {
-        let least = self.typical(slot).times(if self.limit.is_some() { 2.0 } else { 1.0 } * LATE_RATIO);
-        // Later than this share of the aim a further attempt comes too late to be of use.
+        // Under strain later, as copies feed a jam; but past this share of the aim one would come too late.
+        let least = self.typical(slot).times(LATE_RATIO);
         let class = &self.set.classes[slot / 2];
         let most = class.aim.times(if class.second_step > 0 { LATE_SHARE / 2.0 } else { LATE_SHARE });
-        self.slots[slot].late.map_or(least, |late| least.max(late.times(1.1).min(most)))
+        let strained = if self.limit.is_some() { least + least } else { least };
+        let late = self.slots[slot].late.unwrap_or_default().times(1.1);
+        least.max(strained.max(late).min(most))
     }
 
     /// Overdue: out for longer than nearly all attempts of late, wherever they went, so that a slowdown
