--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -320,14 +320,32 @@
 }
 
 #[test]
-fn no_more_attempts_than_allowed() {
+fn no_more_attempts_than_allowed_and_what_has_none_left_is_given_up_at_once() {
     let mut world = World::new(settings(), 4);
-    let (id, _) = world.query(0, &[0]);
-    for _ in 0..20 {
-        world.now = world.now + ms(5);
-        world.end_all(Outcome::Error, |_| true);
+    let (id, _) = world.query(0, &[0, 2]);
+    for _ in 0..2 {
+        world.now = world.now + ms(130);
+        world.end_all(Outcome::Error, |replica| replica < 2);
+        assert!(finals(&world.last).is_empty());
     }
     assert_eq!(world.tries[&(id + 1)], 3);
+    // Replicas 2 and 3 hold shard 2 and may yet answer, but the first part can't land any more.
+    world.now = world.now + ms(130);
+    let actions = world.end_all(Outcome::Error, |replica| replica < 2);
+    assert!(matches!(finals(&actions)[..], [Action::Refuse { query, .. }] if query == id), "{actions:?}");
+    assert_eq!(world.tries[&(id + 1)], 3);
+}
+
+#[test]
+fn a_part_turned_away_is_not_tried_at_the_same_replica_at_once() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    world.tell(vec![Event::ListChanges(vec![line(1, Lifecycle::Gone, None)])]);
+    world.query(0, &[0]);
+    world.now = world.now + ms(5);
+    assert!(sends(&world.end_all(Outcome::Full, |_| true)).is_empty());
+    assert!(sends(&world.wait(ms(50))).is_empty());
+    assert_eq!(sends(&world.wait(ms(60))).len(), 1, "a part time later it may have room");
 }
 
 #[test]
@@ -762,7 +780,7 @@
     for _ in 0..2 {
         world.query(0, &[0]);
         for _ in 0..3 {
-            world.now = world.now + ms(5);
+            world.now = world.now + ms(101);
             world.end_all(Outcome::Error, |replica| replica == 0);
         }
     }
@@ -870,3 +888,106 @@
     let next = sends(&world.tell(vec![event]));
     assert!(matches!(next[..], [(again, elsewhere)] if again == part && elsewhere != dropped), "{next:?}");
 }
+
+/// A fleet of a hundred replicas, one a cell, each shard on three of them.
+fn hundred() -> World {
+    let mut set = settings();
+    (set.cells, set.span, set.fleet_size, set.marks_repeats) = (100, 3, 60, true);
+    let mut world = World::new(set, 0);
+    let lines = (0..100).map(|n| Listed { cell: n, ..line(n, Lifecycle::On, None) }).collect();
+    world.tell(vec![Event::List { replicas: lines, stored: false }]);
+    for round in 0..10 {
+        world.query(0, &[round * 10, round * 10 + 3, round * 10 + 6]);
+        world.now = world.now + ms(100);
+        world.end_all(Outcome::Ok, |_| true);
+        world.wait(ms(900));
+    }
+    world
+}
+
+/// A query of four parts, sent after one of another query met a server that could not be reached.
+fn wary() -> (World, Id, Vec<Action>) {
+    let mut world = hundred();
+    let (_, actions) = world.query(0, &[90]);
+    let event = world.ended(sends(&actions)[0].0, 0, Outcome::ConnectFailed);
+    world.tell(vec![event]);
+    world.end_all(Outcome::Ok, |_| true);
+    let (id, actions) = world.query(0, &[0, 10, 20, 30]);
+    (world, id, actions)
+}
+
+#[test]
+fn where_replicas_have_died_of_late_one_part_goes_ahead() {
+    let (mut world, _, actions) = wary();
+    assert_eq!(sends(&actions).len(), 1);
+    world.now = world.now + ms(100);
+    let actions = world.end_all(Outcome::Ok, |_| true);
+    assert_eq!(sends(&actions).len(), 3, "its answer clears the query");
+}
+
+#[test]
+fn a_query_that_fells_replicas_takes_two_of_them_at_most_where_one_part_went_ahead() {
+    let (mut world, id, _) = wary();
+    let mut sent = 1;
+    for _ in 0..5 {
+        world.now = world.now + ms(10);
+        sent += sends(&world.end_all(Outcome::Reset, |_| true)).len();
+    }
+    assert_eq!(sent, 2);
+    assert!(world.query_of.values().any(|query| *query == id));
+    assert!(world.out.is_empty());
+}
+
+#[test]
+fn the_part_ahead_does_not_hold_up_a_query_for_long() {
+    let (mut world, _, _) = wary();
+    assert!(sends(&world.wait(ms(150))).is_empty());
+    assert_eq!(sends(&world.wait(ms(60))).len(), 3, "after two part times the others follow");
+}
+
+#[test]
+fn a_marked_repeat_sends_one_part_ahead_and_a_first_try_sends_all() {
+    let mut world = hundred();
+    let (_, actions) = world.query(0, &[0, 10, 20, 30]);
+    assert_eq!(sends(&actions).len(), 4);
+    world.now = world.now + ms(100);
+    world.end_all(Outcome::Ok, |_| true);
+    let (_, mut events) = world.query_events(0, &[40, 50, 60, 70], ms(3000));
+    if let Event::Query { repeat, .. } = &mut events[0] {
+        *repeat = true;
+    }
+    assert_eq!(sends(&world.tell(events)).len(), 1);
+}
+
+#[test]
+fn a_light_front_node_remembers_a_failure_until_it_would_meet_the_replica_again() {
+    let mut world = hundred();
+    let (_, actions) = world.query(0, &[50]);
+    let (part, failed) = sends(&actions)[0];
+    let event = world.ended(part, 0, Outcome::Error);
+    world.tell(vec![event]);
+    world.end_all(Outcome::Ok, |_| true);
+    // Three calls a second to a hundred replicas: half a minute until the next one, bounded by ten seconds.
+    for _ in 0..8 {
+        world.wait(ms(900));
+        let (_, actions) = world.query(0, &[50]);
+        assert!(sends(&actions).iter().all(|(_, replica)| *replica != failed));
+        world.now = world.now + ms(100);
+        world.end_all(Outcome::Ok, |_| true);
+    }
+}
+
+#[test]
+fn a_part_is_overdue_by_half_the_aim_though_some_answers_took_longer() {
+    let mut world = World::new(settings(), 8);
+    world.warm_up(20);
+    for round in 0..20 {
+        world.query(0, &[0, 1, 2, 3]);
+        world.now = world.now + ms(if round % 5 == 0 { 900 } else { 100 });
+        world.end_all(Outcome::Ok, |_| true);
+    }
+    world.wait(ms(3000));
+    world.query(0, &[0]);
+    assert!(sends(&world.wait(ms(480))).is_empty());
+    assert_eq!(sends(&world.wait(ms(40))).len(), 1);
+}
