--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 
 use crate::interface::*;
 use crate::state::{Attempt, Flight, Part, Query, Replica, Slot};
-use crate::sums::{fade, mix, quantile, Fading, Random};
+use crate::sums::{append, fade, mix, quantile, sorted, Fading, Random, Window};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // Tuned values. None comes from a deployment; each is a ratio, or a span against which ratios settle.
@@ -57,23 +57,25 @@
     replicas: BTreeMap<ReplicaId, Replica>,
     queries: BTreeMap<u64, Query>,
     flights: BTreeMap<(Id, u32), Flight>,
-    slots: Vec<Slot>,          // by class and step
-    tries: Vec<(Micros, u32)>, // by class: the longest time a try was given, shorter ones since
-    taken: VecDeque<Micros>,   // queries and parts, for the retry budget
-    further: VecDeque<Micros>, // further attempts, for the retry budget
-    sent: Fading,              // parts sent, and of them ...
-    extras: Fading,            // ... the extras ...
-    copies: Fading,            // ... and the further attempts
-    tenants: Vec<Fading>,      // queries of each tenant
-    densities: VecDeque<f64>,  // worth for work of the latest queries
-    flow: Fading,              // answers of late, each as the time its class may take
-    calls: Fading,             // calls sent ...
-    gap: Micros,               // ... and how long it takes on average until a replica gets the next one
-    served: Fading,            // work answered, and of it ...
-    usual: f64,                // ... the part of a core that a replica of size 1 gets from us
-    limit: Option<f64>,        // parts out that admission allows, while under strain
-    asked: Option<Micros>,     // when the list was asked for, if a watch may stand
-    told: bool,                // the watch has brought news since
+    slots: Vec<Slot>,                     // by class and step
+    tries: Vec<(Micros, u32)>,            // by class: the longest time a try was given, shorter ones since
+    taken: Window,                        // queries and parts, for the retry budget
+    further: Window,                      // further attempts, for the retry budget
+    keep: Micros,                         // how long both are kept
+    cells: BTreeMap<u32, Vec<ReplicaId>>, // who is listed in each
+    sent: Fading,                         // parts sent, and of them ...
+    extras: Fading,                       // ... the extras ...
+    copies: Fading,                       // ... and the further attempts
+    tenants: Vec<Fading>,                 // queries of each tenant
+    densities: VecDeque<f64>,             // worth for work of the latest queries
+    flow: Fading,                         // answers of late, each as the time its class may take
+    calls: Fading,                        // calls sent ...
+    gap: Micros,           // ... and how long it takes on average until a replica gets the next one
+    served: Fading,        // work answered, and of it ...
+    usual: f64,            // ... the part of a core that a replica of size 1 gets from us
+    limit: Option<f64>,    // parts out that admission allows, while under strain
+    asked: Option<Micros>, // when the list was asked for, if a watch may stand
+    told: bool,            // the watch has brought news since
     ask_at: Micros,
     ask_wait: Micros,
     wake_at: Option<Micros>,
@@ -93,6 +95,7 @@
             tries: vec![(Micros(0), 0); classes],
             tenants: vec![Fading::default(); settings.tenants.len()],
             ask_wait: ASK_WAIT,
+            keep: settings.rules.retry_budget.map_or(Micros(0), |budget| budget.window.times(2.0)),
             set: settings,
             ..FrontNode::default()
         };
@@ -149,7 +152,7 @@
                 self.actions.push(Action::Remark("list lost, asking again".into()));
             }
             Event::Query { id, number, class, tenant, expires_in, hint, repeat } => {
-                self.take();
+                self.taken.add(self.now, 1.0, self.now - self.keep);
                 let Some(settings) = self.set.classes.get(*class) else {
                     self.actions.push(Action::Refuse { query: *id, retry_after: None }); // nothing of it ran
                     return;
@@ -161,14 +164,14 @@
                 let full = expires_in.over(longest) > 0.99;
                 let short = if full { 0 } else { short + 1 };
                 self.tries[*class] = (longest.max(*expires_in), short);
-                let again = if self.set.marks_repeats { *repeat } else { short < SHORT_TRIES };
+                let marks = self.set.marks_repeats;
+                let again = if marks { *repeat } else { short < SHORT_TRIES };
                 let waited = if again && !full { settings.deadline - *expires_in } else { Micros(0) };
                 let stretch = hint.unwrap_or_default().times(settings.aim_stretch);
                 let aim = (settings.aim + stretch).min(settings.deadline) - waited;
                 let (id, number, class, tenant) = (*id, *number, *class, *tenant);
                 let (aim_at, end_at) = (self.now + aim, self.now + *expires_in);
-                let repeat = self.set.marks_repeats && *repeat;
-                let step = 1;
+                let (repeat, step) = (marks && *repeat, 1);
                 let query =
                     Query { id, number, class, tenant, aim_at, end_at, repeat, step, ..Query::default() };
                 // The final answer has a timer of its own, whatever else waits.
@@ -177,7 +180,7 @@
                 self.queries.insert(number, query);
             }
             Event::Part { id, number, shard, weight, hint: _ } => {
-                self.take();
+                self.taken.add(self.now, 1.0, self.now - self.keep);
                 if let Some(query) = self.queries.get_mut(number) {
                     let (id, shard, weight, step) = (*id, *shard, *weight, query.step);
                     query.parts.push(Part { id, shard, weight, step, ..Part::default() });
@@ -197,20 +200,11 @@
         }
     }
 
-    fn take(&mut self) {
-        if let Some(budget) = self.set.rules.retry_budget {
-            let since = self.now - budget.window.times(2.0);
-            self.taken.push_back(self.now);
-            self.taken.retain(|at| *at > since);
-            self.further.retain(|at| *at > since);
-        }
-    }
-
     fn take_lines(&mut self, lines: &[Listed], news: bool) {
-        if news && self.ask_wait > ASK_WAIT {
-            self.actions.push(Action::Remark("list regained".into()));
-        }
         if news {
+            if self.ask_wait > ASK_WAIT {
+                self.actions.push(Action::Remark("list regained".into()));
+            }
             (self.told, self.ask_wait) = (true, ASK_WAIT);
         }
         for line in lines {
@@ -226,6 +220,10 @@
             }
             (replica.cell, replica.size, replica.lifecycle) = (line.cell, line.size, line.lifecycle);
         }
+        self.cells.clear();
+        for (id, replica) in &self.replicas {
+            self.cells.entry(replica.cell % self.set.cells.max(1)).or_default().push(*id);
+        }
     }
 
     fn ended(&mut self, part: Id, attempt: u32, outcome: Outcome, took: Micros) {
@@ -239,12 +237,19 @@
         }
         let pace = self.replicas.get(&flight.replica).map_or(1.0, |replica| self.pace(replica));
         let ghost = GHOST.max(self.gap);
+        let class = &self.set.classes[flight.slot / 2];
+        let allowed = class.aim.over(SECOND) / if class.second_step > 0 { 2.0 } else { 1.0 };
         if let Some(replica) = self.replicas.get_mut(&flight.replica) {
             replica.out -= u32::from(call_over);
             match outcome {
                 Outcome::Ok => {
                     replica.last_ok = self.now;
                     (replica.pace, replica.pace_at) = (pace + PACE_GAIN * (seen - pace), self.now);
+                    let slot = &mut self.slots[flight.slot];
+                    self.served.add(self.now, HALF_LIFE, slot.work.unwrap_or(took).over(SECOND));
+                    append(&mut slot.ring, (self.now, took), RING);
+                    self.flow.add(self.now, FLOW_HALF, allowed);
+                    replica.flow.add(self.now, FLOW_HALF, allowed);
                 }
                 Outcome::Moot => {}
                 Outcome::Cancelled if !overdue => {}
@@ -262,28 +267,11 @@
                 }
             }
         }
-        if outcome == Outcome::Ok {
-            let work = self.slots[flight.slot].work.unwrap_or(took).over(SECOND);
-            self.served.add(self.now, HALF_LIFE, work);
-            let class = &self.set.classes[flight.slot / 2];
-            let steps = if class.second_step > 0 { 2.0 } else { 1.0 };
-            let allowed = class.aim.over(SECOND) / steps;
-            self.flow.add(self.now, FLOW_HALF, allowed);
-            if let Some(replica) = self.replicas.get_mut(&flight.replica) {
-                replica.flow.add(self.now, FLOW_HALF, allowed);
-            }
-            let ring = &mut self.slots[flight.slot].ring;
-            ring.push_back((self.now, took));
-            if ring.len() > RING {
-                ring.pop_front();
-            }
-        }
         let Some(query) = self.queries.get_mut(&flight.query) else { return };
         let part = &mut query.parts[flight.index];
         part.done |= outcome == Outcome::Ok;
-        part.attempts[attempt as usize].open = false;
-        part.attempts[attempt as usize].never_ran = never_ran;
-        part.attempts[attempt as usize].reset = outcome == Outcome::Reset;
+        let attempt = &mut part.attempts[attempt as usize];
+        (attempt.open, attempt.never_ran, attempt.reset) = (false, never_ran, outcome == Outcome::Reset);
     }
 
     // ---- judging replicas ----
@@ -325,15 +313,13 @@
     fn judge(&mut self) {
         let now = self.now;
         for slot in &mut self.slots {
-            let mut fresh: Vec<Micros> = Vec::new();
-            let mut all: Vec<Micros> = slot.ring.iter().map(|(_, took)| *took).collect();
-            fresh.extend(slot.ring.iter().filter(|(at, _)| now - *at < STRAIN_WINDOW).map(|(_, took)| *took));
-            all.sort();
-            fresh.sort();
-            let mark =
-                |sorted: &[Micros], share| quantile(sorted, share).filter(|_| sorted.len() >= LEAST_SAMPLES);
-            [slot.work, slot.typical, slot.late] = [0.25, 0.5, 0.95].map(|share| mark(&all, share));
-            slot.recent = mark(&fresh, 0.8);
+            let latest = |span: Micros| {
+                let young = slot.ring.iter().filter(|(at, _)| now - *at < span);
+                sorted(young.map(|(_, took)| *took), LEAST_SAMPLES)
+            };
+            let (all, fresh) = (latest(Micros(i64::MAX)), latest(STRAIN_WINDOW));
+            [slot.work, slot.typical, slot.late] = [0.25, 0.5, 0.95].map(|share| quantile(&all, share));
+            slot.recent = quantile(&fresh, 0.8);
         }
         let size: f64 = self.replicas.values().filter(|r| r.lifecycle == Lifecycle::On).map(|r| r.size).sum();
         self.usual = self.served.per_second(now, HALF_LIFE) / size.max(EPS);
@@ -354,9 +340,9 @@
                 }
             }
         }
-        let mut sorted: Vec<f64> = paces.values().copied().collect();
-        sorted.sort_by(f64::total_cmp);
-        let median = sorted.get(sorted.len() / 2).copied().unwrap_or(1.0).max(1.0);
+        let mut middle: Vec<f64> = paces.values().copied().collect();
+        middle.sort_by(f64::total_cmp);
+        let median = middle.get(middle.len() / 2).copied().unwrap_or(1.0).max(1.0);
         for (id, pace) in paces {
             let Some(replica) = self.replicas.get_mut(&id) else { continue };
             let ratio = pace / median;
@@ -432,10 +418,7 @@
         let density = self.density(query) * (0.5 + self.rng.next());
         let below = self.densities.iter().filter(|other| **other < density).count();
         let rank = below as f64 / self.densities.len().max(1) as f64;
-        self.densities.push_back(density);
-        if self.densities.len() > RING {
-            self.densities.pop_front();
-        }
+        append(&mut self.densities, density, RING);
         let class = &self.set.classes[query.class];
         // What can't be done in the time left is declined at once; mostly these are tries repeated late.
         let second = if class.second_step > 0 { self.typical(query.class * 2 + 1) } else { Micros(0) };
@@ -564,9 +547,10 @@
     }
 
     fn holders(&self, shard: u32) -> impl Iterator<Item = (&ReplicaId, &Replica)> {
-        let (cells, span) = (self.set.cells.max(1), self.set.span);
-        let holds = move |cell: u32| (cell % cells + cells - shard % cells) % cells < span;
-        self.replicas.iter().filter(move |(_, replica)| holds(replica.cell))
+        let cells = self.set.cells.max(1);
+        let cell = move |place| (shard % cells + place) % cells;
+        let listed = (0..self.set.span.min(cells)).filter_map(move |place| self.cells.get(&cell(place)));
+        listed.flatten().filter_map(|id| self.replicas.get_key_value(id))
     }
 
     /// The count by which replicas are compared: our parts out, failed ones that still count, and the part
@@ -632,9 +616,8 @@
         let Some(budget) = self.set.rules.retry_budget else { return true };
         let since = self.now - budget.window;
         // The bounds lean to the careful side by a tick at either end of the window.
-        let used = self.further.iter().filter(|at| **at >= since - self.set.tick).count() as f64;
-        let taken = self.taken.iter().filter(|at| **at > since + self.set.tick).count() as f64;
-        used + 1.0 <= budget.floor + budget.share * taken
+        let used = self.further.since(since - self.set.tick);
+        used + 1.0 <= budget.floor + budget.share * self.taken.since(since + self.set.tick + Micros(1))
     }
 
     /// The share of its capacity that a replica is known to have: it grows evenly to 1 at the slowest.
@@ -662,9 +645,8 @@
         let rate = COLD_MARGIN * rules.tip_multiple * warmth * even.max(self.usual * replica.size);
         let budget = rate * rules.fall.0 as f64;
         let work = self.slots[slot].work.map_or(budget, |work| work.0 as f64);
-        let lately = replica.recent.iter().filter(|(at, _)| self.now - *at <= rules.fall);
-        let spent: f64 = lately.map(|(_, work)| work).sum();
-        let last = replica.recent.back().map(|(at, _)| *at).filter(|at| *at > started);
+        let spent = replica.recent.since(self.now - rules.fall);
+        let last = replica.recent.last().filter(|at| *at > started);
         let wait = if last.is_some() { 1.0 } else { replica.phase };
         let spaced = (self.now - last.unwrap_or(started.max(self.born))).0 as f64 > wait * work / rate;
         spent + work <= budget || (work > budget && spaced)
@@ -696,8 +678,7 @@
             replica.out += 1;
         }
         let call = replica.call.1;
-        replica.recent.retain(|(at, _)| now - *at <= fall);
-        replica.recent.push_back((now, work));
+        replica.recent.add(now, work, now - fall);
         let part = &mut query.parts[index];
         let attempt = part.attempts.len() as u32;
         part.attempts.push(Attempt { replica: id, sent: now, open: true, never_ran: false, reset: false });
@@ -707,7 +688,7 @@
         self.sent.add(now, HALF_LIFE, 1.0);
         if attempt > 0 {
             self.copies.add(now, HALF_LIFE, 1.0);
-            self.further.push_back(now);
+            self.further.add(now, 1.0, now - self.keep);
         }
         self.rng.next();
         self.actions.push(Action::Attempt { part: part.id, replica: id, timeout });
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What the decision module remembers: types only, no decision and no value.
 
 use crate::interface::{Id, Lifecycle, Micros, ReplicaId};
-use crate::sums::Fading;
+use crate::sums::{Fading, Window};
 use std::collections::VecDeque;
 
 /// One attempt of a part, as its query remembers it.
@@ -68,7 +68,7 @@
     pub(crate) condemned: bool,       // as last logged
     pub(crate) call: (u64, u64, u32), // round, number and parts of the call being put together
     pub(crate) phase: f64,            // drawn at its start: when in a spaced wait its first part may go
-    pub(crate) recent: VecDeque<(Micros, f64)>, // work sent in the last `fall`
+    pub(crate) recent: Window,        // work sent in the last `fall`
 }
 
 /// Latencies of one class and step.
