--- a/src/logic.rs
+++ b/src/logic.rs
@@ -502,7 +502,7 @@
             return self.give_up(query);
         }
         self.cancel_open(query, true);
-        let young = |flight: &Flight| self.now - flight.sent < typical.times(LEAST_TIME);
+        let young = |flight: &Flight| self.now - flight.sent < typical.times(EARLY);
         let waits = |flight: &Flight| flight.query == query.number && young(flight);
         if !wary || !self.flights.values().any(waits) {
             self.dispatch(query, need, if wary && (unseen || felled > 0) { 1 } else { usize::MAX });
