--- a/src/logic.rs
+++ b/src/logic.rs
@@ -232,7 +232,7 @@
         let overdue = self.overdue(&flight);
         let call_over = !self.flights.values().any(|other| other.call == flight.call);
         let seen = took.over(self.typical(flight.slot)).min(PACE_CAP);
-        if outcome == Outcome::ConnectFailed || outcome == Outcome::Reset && seen < EARLY {
+        if outcome == Outcome::Reset && seen < EARLY {
             self.died_at = Some(self.now);
         }
         let pace = self.replicas.get(&flight.replica).map_or(1.0, |replica| self.pace(replica));
@@ -502,7 +502,7 @@
             return self.give_up(query);
         }
         self.cancel_open(query, true);
-        let young = |flight: &Flight| self.now - flight.sent < typical.times(EARLY);
+        let young = |flight: &Flight| self.now - flight.sent < typical.times(LEAST_TIME);
         let waits = |flight: &Flight| flight.query == query.number && young(flight);
         if !wary || !self.flights.values().any(waits) {
             self.dispatch(query, need, if wary && (unseen || felled > 0) { 1 } else { usize::MAX });
