--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,7 +41,9 @@
 const LEAST_TIME: f64 = 2.0; // a query takes this multiple of the typical part at least
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
 const KILLER: usize = 2; // replicas that drop a query's attempts, with nothing answered, before it is given up
-const DYING: f64 = 0.25; // where more attempts than this share find no connection, one part goes ahead
+const WARY: Micros = Micros(5_000_000); // this long after a replica died, queries send one part ahead
+const WIDE: f64 = 0.33; // ... that could bring down this share of the replicas
+const EARLY: f64 = 0.5; // a drop before this share of a typical part time is a death, later perhaps a lost answer
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
 /// The decisions of one front node.
@@ -78,8 +80,7 @@
     ask_at: Micros,
     ask_wait: Micros,
     wake_at: Option<Micros>,
-    ended: Fading, // attempts that ended of late, and of them ...
-    dead: Fading, // ... those without a connection
+    died_at: Option<Micros>, // when a replica was last found dying or dead
     actions: Vec<Action>,    // decided in this batch
 }
 
@@ -232,8 +233,9 @@
         let overdue = self.overdue(&flight);
         let call_over = !self.flights.values().any(|other| other.call == flight.call);
         let seen = took.over(self.typical(flight.slot)).min(PACE_CAP);
-        self.ended.add(self.now, PACE_HALF, 1.0);
-        self.dead.add(self.now, PACE_HALF, f64::from(u8::from(outcome == Outcome::ConnectFailed)));
+        if outcome == Outcome::ConnectFailed || outcome == Outcome::Reset && seen < EARLY {
+            self.died_at = Some(self.now);
+        }
         let pace = self.replicas.get(&flight.replica).map_or(1.0, |replica| self.pace(replica));
         let ghost = GHOST.max(self.gap);
         let class = &self.set.classes[flight.slot / 2];
@@ -485,7 +487,8 @@
         let felled = if cleared { 0 } else { dropped.len() };
         let typical = self.typical(query.class * 2);
         let time = query.aim_at - self.now > typical.times(LATE_RATIO);
-        let died = query.repeat || self.dead.read(self.now, PACE_HALF) > DYING * self.ended.read(self.now, PACE_HALF);
+        let wide = query.parts.len() as f64 > WIDE * self.replicas.len() as f64;
+        let died = query.repeat || wide && self.died_at.is_some_and(|at| self.now - at < WARY);
         let wary = !cleared && (felled > 0 || died && time);
         if felled >= KILLER {
             self.actions.push(Action::Remark(format!("query of class {} fells replicas", query.class)));
