--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,10 +40,9 @@
 const OVER_QUOTA: f64 = 1.3; // a tenant beyond this multiple of our share of its quota is over it
 const LEAST_TIME: f64 = 2.0; // a query takes this multiple of the typical part at least
 const RANK_TILT: f64 = 0.4; // part of the limit that the least worthy query may not use
-const KILLER: usize = 2; // replicas that drop a query's attempts, with nothing answered, before it is given up
+const KILLER: usize = 2; // replicas that drop a query with nothing answered before it is given up
 const WARY: Micros = Micros(5_000_000); // this long after a replica died, queries send one part ahead
 const WIDE: f64 = 0.33; // ... that could bring down this share of the replicas
-const EARLY: f64 = 0.5; // a drop before this share of a typical part time is a death, later perhaps a lost answer
 const EPS: f64 = 0.0001; // sums of weights may come up this short
 
 /// The decisions of one front node.
@@ -158,9 +157,8 @@
                     self.actions.push(Action::Refuse { query: *id, retry_after: None }); // nothing of it ran
                     return;
                 };
-                // A repeated try shorter than the longest seen was cut by the client's deadline: that tells
-                // how long the client has waited. Where repeats are not marked every short try is taken for
-                // one, unless tries have become short altogether: clients are in a hurry, nothing is known.
+                // A repeat shorter than the longest try was cut by the client's deadline, so we know how long
+                // it has waited. Unmarked, every short try is taken for one, unless all have become short.
                 let (longest, short) = self.tries[*class];
                 let full = expires_in.over(longest) > 0.99;
                 let short = if full { 0 } else { short + 1 };
@@ -216,8 +214,8 @@
             if line.started.is_some() && line.started != replica.started {
                 // A new process: what its predecessor did says nothing of it.
                 replica.ghosts.clear();
-                (replica.pace, replica.last_ok, replica.phase) = (1.0, now, phase);
-                replica.started = line.started;
+                (replica.pace, replica.last_ok) = (1.0, now);
+                (replica.started, replica.phase) = (line.started, phase);
             }
             (replica.cell, replica.size, replica.lifecycle) = (line.cell, line.size, line.lifecycle);
         }
@@ -233,9 +231,7 @@
         let overdue = self.overdue(&flight);
         let call_over = !self.flights.values().any(|other| other.call == flight.call);
         let seen = took.over(self.typical(flight.slot)).min(PACE_CAP);
-        if outcome == Outcome::ConnectFailed || outcome == Outcome::Reset && seen < EARLY {
-            self.died_at = Some(self.now);
-        }
+        self.died_at = if outcome == Outcome::ConnectFailed { Some(self.now) } else { self.died_at };
         let pace = self.replicas.get(&flight.replica).map_or(1.0, |replica| self.pace(replica));
         let ghost = GHOST.max(self.gap);
         let class = &self.set.classes[flight.slot / 2];
@@ -254,11 +250,10 @@
                 }
                 Outcome::Moot => {}
                 Outcome::Cancelled if !overdue => {}
-                // Failing fast, swallowing parts or refusing them must not make a replica look idle:
-                // the attempt keeps counting for a while, and a long wait is held against its pace.
-                // Also covers a server that fails one class only. Failures in a row count longer, so that a
-                // dead one is asked less and less. Hurts where errors are harmless. A time-out that came
-                // before the part was overdue is the query's doing: it counts, but not against the pace.
+                // Failing fast, swallowing parts or refusing them must not make a replica look idle: the
+                // attempt keeps counting, longer after failures in a row, and a long wait is held against
+                // its pace. Covers a server that fails one class only; hurts where errors are harmless. A
+                // time-out before the part was overdue is the query's doing: it is not held against the pace.
                 _ => {
                     let many = replica.ghosts.len().min(GHOST_GROWTH) as f64;
                     replica.ghosts.push(self.now + ghost.times(1.0 + 0.5 * many));
@@ -283,9 +278,8 @@
     }
 
     fn typical(&self, slot: usize) -> Micros {
-        let own = self.slots[slot].typical;
-        let any = || self.slots.iter().find_map(|slot| slot.typical);
-        own.or_else(any).unwrap_or(self.set.classes[slot / 2].aim.times(0.125))
+        let known = self.slots[slot].typical.or_else(|| self.slots.iter().find_map(|slot| slot.typical));
+        known.unwrap_or(self.set.classes[slot / 2].aim.times(0.125))
     }
 
     fn overdue_after(&self, slot: usize) -> Micros {
@@ -329,7 +323,7 @@
             paces.insert(*id, self.pace(replica));
         }
         self.replicas.values_mut().for_each(|replica| replica.ghosts.retain(|until| *until > now));
-        // A light front node meets a replica rarely: what it knows of one has to last until it meets it again.
+        // A light front node meets a replica rarely: what it knows has to last until it meets it again.
         let calls = self.calls.per_second(now, HALF_LIFE).max(EPS);
         self.gap = SECOND.times(paces.len() as f64 / calls).min(HALF_LIFE);
         for flight in self.flights.values().filter(|flight| !flight.cancelled) {
@@ -357,8 +351,8 @@
         }
     }
 
-    /// Where the list must be asked for, a watch stands from the start on and is renewed when it fails, or
-    /// when the call for it was never answered: without one, old news would soon count as told.
+    /// Where the list must be asked for, a watch stands from the start on; it is renewed when it fails or is
+    /// not answered: without one, old news would soon count as told.
     fn watch_list(&mut self) {
         let unanswered = self.asked.is_some_and(|at| self.now - at > self.set.rules.ask_within.times(0.5));
         if self.set.must_ask && self.now >= self.ask_at && (self.asked.is_none() || unanswered && !self.told)
@@ -370,17 +364,15 @@
 
     // ---- admission ----
 
-    /// Sets the limit on parts out. Strain is what parts take of late against their class's aim, or how
-    /// full this front node is. Under strain answers come at the rate that can be had, and rate times the
-    /// latency wished is what can be out in good time (Little). Answers any surge, lost capacity or
-    /// slowdown of everything at once; hurts when a few slow replicas make up the quantile.
+    /// Sets the limit on parts out. Strain is what parts take of late against their class's aim, or how full
+    /// this front node is. Under strain, the rate of answers times the latency wished is what can be out in
+    /// good time (Little). Covers surge, lost capacity, slowdown of all; hurts if few slow ones set the mark.
     fn set_limit(&mut self) {
         let held = self.queries.values().map(|query| query.parts.len() + 1).sum::<usize>();
         let mut strain = STRAIN_FROM * held as f64 / f64::from(self.set.limits.held.max(1));
         for (class, settings) in self.set.classes.iter().enumerate() {
-            let first = self.slots[class * 2].recent.unwrap_or_default();
-            let second = self.slots[class * 2 + 1].recent.unwrap_or_default();
-            strain = strain.max((first + second).over(settings.aim));
+            let recent = |slot: usize| self.slots[slot].recent.unwrap_or_default();
+            strain = strain.max((recent(class * 2) + recent(class * 2 + 1)).over(settings.aim));
         }
         let strained = strain > if self.limit.is_some() { STRAIN_OVER } else { STRAIN_FROM };
         if strained != self.limit.is_some() {
@@ -392,12 +384,6 @@
         self.limit = strained.then_some((flow * LIMIT_SHARE).max(least));
     }
 
-    /// Parts that are out at replicas from which answers are to be expected.
-    fn parts_out(&self) -> f64 {
-        let sound = |flight: &&Flight| self.replicas[&flight.replica].factor < CONDEMNED && !flight.cancelled;
-        self.flights.values().filter(sound).count() as f64
-    }
-
     /// What the query earns for each part it needs, as things stand.
     fn density(&mut self, query: &Query) -> f64 {
         let class = &self.set.classes[query.class];
@@ -415,8 +401,7 @@
     }
 
     fn admit(&mut self, query: &Query) -> bool {
-        // A little chance is mixed in, so that classes of like worth are declined alike.
-        let density = self.density(query) * (0.5 + self.rng.next());
+        let density = self.density(query) * (0.5 + self.rng.next()); // classes of like worth fare alike
         let below = self.densities.iter().filter(|other| **other < density).count();
         let rank = below as f64 / self.densities.len().max(1) as f64;
         append(&mut self.densities, density, RING);
@@ -425,9 +410,8 @@
         let second = if class.second_step > 0 { self.typical(query.class * 2 + 1) } else { Micros(0) };
         let takes = (self.typical(query.class * 2).times(LEAST_TIME) + second).min(class.aim.times(0.5));
         let worthless = density <= 0.0 || self.stop_at(query) - self.now < takes;
-        // A query whose shards are down by the list's own word can't be answered; with no list it waits.
-        // The same holds where each of a shard's replicas has all out that it answers in good time: a shard
-        // of which few holders are left, or which everybody wants, must not hold up what else is asked.
+        // A query whose shards are down by the list's word, or whose holders all have as much out as they
+        // answer in good time, can't be answered and must not hold up others; with no list it waits.
         let on = |replica: &Replica| replica.lifecycle == Lifecycle::On;
         let has_room = |replica: &Replica| {
             let limit = (replica.flow.per_second(self.now, FLOW_HALF) * LIMIT_SHARE).max(LEAST_ROOM);
@@ -439,7 +423,10 @@
         let reach: f64 = query.parts.iter().filter(up).map(|part| part.weight).sum();
         let parts = query.parts.len() as f64 * class.need;
         let share = 1.0 - RANK_TILT * (1.0 - rank);
-        let room = self.limit.is_none_or(|limit| self.parts_out() + parts <= (limit * share).max(parts));
+        // Only parts at replicas from which answers are to be expected take up room.
+        let sound = |flight: &&Flight| self.replicas[&flight.replica].factor < CONDEMNED && !flight.cancelled;
+        let out = self.flights.values().filter(sound).count() as f64;
+        let room = self.limit.is_none_or(|limit| out + parts <= (limit * share).max(parts));
         !worthless && room && (!listed || reach > class.floor - EPS)
     }
 
@@ -450,9 +437,9 @@
     fn stop_at(&self, query: &Query) -> Micros {
         let margin = self.set.tick.times(2.0);
         let class = &self.set.classes[query.class];
-        // A partial answer in time counts as what waiting has to beat, where one may be given.
+        // What waiting has to beat: a partial answer in time, where one may be given ...
         let partial = if class.floor < class.need { class.partial * class.floor / class.need } else { 0.0 };
-        // What is left to earn has to beat the price of work that may serve nothing, of each step to come.
+        // ... and the price of work that may serve nothing, of each step to come.
         let steps = if query.step == 1 && class.second_step > 0 { 2.0 } else { 1.0 };
         let late = class.late_worth > partial.max(self.set.waste_price * steps);
         (if late { query.end_at } else { query.end_at.min(query.aim_at) }) - margin
@@ -475,28 +462,26 @@
             query.step += 1; // the parts of a second step come with the next batch
             return query.step == 2 && self.set.classes[query.class].second_step > 0;
         }
-        // A query that brings down what it touches does harm with each further attempt. One caught by the
-        // harm of another soon has an answered part, which clears it: so after a first drop nothing is sent
-        // while an attempt may yet be answered, and a second replica's drop ends it. Where replicas have died
-        // of late, or the client asks again, one part goes ahead of the others if there is time. Covers any
-        // query that drops connections; hurts one whose first two replicas die by chance in one part time.
+        // A query that brings down what it touches does harm with each attempt; one caught by another's harm
+        // soon has an answered part, which clears it. So after a drop nothing is sent while an attempt may
+        // yet be answered, and a second replica's drop ends it. If there is time, one part goes ahead of a
+        // repeat and, where a replica died of late, of a wide query. Hurts if two die by chance at once.
         let attempts = query.parts.iter().flat_map(|part| &part.attempts);
         let unseen = attempts.clone().all(|a| a.never_ran && !a.open);
         let dropped: BTreeSet<ReplicaId> = attempts.filter(|a| a.reset).map(|a| a.replica).collect();
         let cleared = query.parts.iter().any(|part| part.done);
         let felled = if cleared { 0 } else { dropped.len() };
         let typical = self.typical(query.class * 2);
-        let time = query.aim_at - self.now > typical.times(LATE_RATIO);
         let wide = query.parts.len() as f64 > WIDE * self.replicas.len() as f64;
         let died = query.repeat || wide && self.died_at.is_some_and(|at| self.now - at < WARY);
+        let time = query.aim_at - self.now > typical.times(LATE_RATIO);
         let wary = !cleared && (felled > 0 || died && time);
         if felled >= KILLER {
             self.actions.push(Action::Remark(format!("query of class {} fells replicas", query.class)));
         }
-        // What has used up its attempts can't land any more: without it there may be no answer to wait for.
         let most = self.set.limits.attempts as usize;
-        let out =
-            |part: &Part| part.attempts.len() < most || part.attempts.iter().any(|attempt| attempt.open);
+        // What has used up its attempts can't land any more.
+        let out = |part: &Part| part.attempts.len() < most || part.attempts.iter().any(|a| a.open);
         let mine = query.parts.iter().filter(|part| part.step == query.step);
         let reach: f64 = mine.filter(|part| part.done || out(part)).map(|part| part.weight).sum();
         let floor = if query.step == 1 { class.floor } else { 1.0 };
@@ -512,9 +497,9 @@
         true
     }
 
-    /// Sends what the query lacks: parts not sent yet first, lowest score first; then parts whose attempts
-    /// have all failed; then copies of overdue ones. So an overdue part of an n-of-k class is answered by
-    /// an unsent part before a copy. Then, where any n parts do, one extra while extras are few.
+    /// Sends what the query lacks: parts not sent yet, lowest score first, so that an overdue part of an
+    /// n-of-k class is answered by one before a copy; then parts whose attempts have all failed; then copies
+    /// of overdue ones. Then, where any n parts do, one extra while extras are few.
     fn dispatch(&mut self, query: &mut Query, need: f64, most_sends: usize) {
         // In a surge extras would be served before their cancellation arrives: none while shedding.
         let most = EXTRA_SHARE * self.sent.read(self.now, HALF_LIFE);
@@ -556,9 +541,8 @@
     }
 
     /// The count by which replicas are compared: our parts out, failed ones that still count, and the part
-    /// to be sent, times the factor of a far slower replica. A cold one counts for more by the share it lacks,
-    /// but not for that share of parts: with little out anywhere it would get none from many front nodes,
-    /// and its peers all that is its own.
+    /// to be sent, times the factor of a far slower replica; more at a cold one for the share of parts it
+    /// can't take: counted for all, with little out anywhere, it would get none from any front node.
     fn load(&self, replica: &Replica, draw: f64) -> f64 {
         let count = f64::from(replica.out) + replica.ghosts.len() as f64 + 1.0;
         let warmth = self.warmth(replica);
@@ -588,30 +572,26 @@
         let Some(replica) = self.replicas.get(&id) else { return false };
         let class = &self.set.classes[query.class];
         let tried = part.attempts.len();
-        if replica.lifecycle != Lifecycle::On || tried as u32 >= self.set.limits.attempts || part.done {
-            return false;
-        }
-        if !self.within_cold_budget(replica, query.class * 2 + usize::from(query.step - 1)) {
+        let slot = query.class * 2 + usize::from(query.step - 1);
+        let usable = replica.lifecycle == Lifecycle::On && self.within_cold_budget(replica, slot);
+        if !usable || part.done || tried as u32 >= self.set.limits.attempts {
             return false;
         }
         if tried == 0 {
             return true;
         }
         let since = self.now - self.typical(query.class * 2);
-        let mut maybe_ran = part.attempts.iter().filter(|attempt| attempt.open || !attempt.never_ran);
-        let first = maybe_ran.next().map(|attempt| attempt.sent);
+        let first = part.attempts.iter().find(|a| a.open || !a.never_ran).map(|a| a.sent);
         let repeatable = match class.effect {
             Effect::Safe => true,
             Effect::Keyed => first.is_none_or(|sent| self.now - sent < class.keyed_window - self.set.tick),
             Effect::Unsafe => first.is_none(),
         };
-        let open = part.attempts.iter().any(|attempt| attempt.open);
-        let here = part.attempts.iter().any(|attempt| attempt.open && attempt.replica == id);
+        let here = part.attempts.iter().any(|a| a.replica == id && (a.open || a.sent > since));
         let most = COPY_FLOOR + COPY_SHARE * self.sent.read(self.now, HALF_LIFE);
         let storm = self.copies.read(self.now, HALF_LIFE) + 1.0 > most;
-        let again = part.attempts.iter().any(|attempt| attempt.replica == id && attempt.sent > since);
-        let doubled = open && (here || !self.set.limits.may_duplicate);
-        repeatable && !storm && !doubled && !again && self.within_retry_budget()
+        let doubled = here || part.attempts.iter().any(|a| a.open) && !self.set.limits.may_duplicate;
+        repeatable && !storm && !doubled && self.within_retry_budget()
     }
 
     fn within_retry_budget(&self) -> bool {
@@ -630,19 +610,16 @@
         (cold + (1.0 - cold) * grown).max(0.01)
     }
 
-    /// Work sent to a cold replica in any window of `fall` stays within this front node's share of what it
-    /// stands: an even share of one core at the speed warm ones show, or the work that a replica of its size
-    /// answers us on average, which added up over all front nodes is less than it can do when warm. All work
-    /// counts, copies too. Where the share is less than one part, parts are spaced out, from a moment drawn
-    /// anew for each start, so that many front nodes neither come at once nor all stay away. Just after our
-    /// own start we know neither the cost of a part nor what we sent before: nothing goes to a cold replica.
+    /// Work sent to a cold replica in any window of `fall`, copies too, stays within our share of what it
+    /// stands: an even share of one core, or the work that a replica of its size answers us on average, which
+    /// over all front nodes adds up to less than it can do warm. Where that is under one part, parts are
+    /// spaced out from a moment drawn at each start, so that front nodes neither come at once nor all stay
+    /// away. Just after our own start we know too little: nothing goes to a cold replica.
     fn within_cold_budget(&self, replica: &Replica, slot: usize) -> bool {
         let warmth = self.warmth(replica);
         let rules = &self.set.rules;
         let Some(started) = replica.started.filter(|_| warmth < 1.0) else { return true };
-        if self.now - self.born < rules.fall {
-            return false;
-        }
+        let known = self.now - self.born >= rules.fall;
         let even = replica.size.min(1.0) / f64::from(self.set.fleet_size.max(1));
         let rate = COLD_MARGIN * rules.tip_multiple * warmth * even.max(self.usual * replica.size);
         let budget = rate * rules.fall.0 as f64;
@@ -651,7 +628,7 @@
         let last = replica.recent.last().filter(|at| *at > started);
         let wait = if last.is_some() { 1.0 } else { replica.phase };
         let spaced = (self.now - last.unwrap_or(started.max(self.born))).0 as f64 > wait * work / rate;
-        spent + work <= budget || (work > budget && spaced)
+        known && (spent + work <= budget || (work > budget && spaced))
     }
 
     // ---- sending and ending ----
