Share the floor of the shedding limit; judge strain by more samples and not by fullness alone

Servers turned parts away as full and late answers filled the windows, yet hardly a front node declined anything: each kept a floor of two parts a replica, 300 in all, and fifty of them add up to more than any fleet holds. Rivals: crashed servers (387 resets, but only after five seconds of full), repeats (one try a query).

Kept: the latest 24 samples always speak, fullness counts for at most twice what latencies tell, floor ten.

Also covers any loss of capacity at size. May hurt a light front node of many that alone is hit by a slow shard.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,9 +31,11 @@
 const STRAIN_FROM: f64 = 0.6; // parts that take this share of the aim mean that queries will miss it
 const STRAIN_OVER: f64 = 0.4; // and below this share the strain is over
 const STRAIN_WINDOW: Micros = Micros(1_500_000); // latencies older than this don't speak of strain
+const FULL_TELLS: f64 = 2.0; // being full raises strain to this multiple of what latencies tell
+const STRAIN_SAMPLES: usize = 24; // but the latest so many do: one query's parts are no evidence
 const FLOW_HALF: Micros = Micros(1_000_000); // half-life of the flow of answers
 const LIMIT_SHARE: f64 = 0.6; // share of the aim that parts may take on average while under strain
-const LEAST_LIMIT: f64 = 2.0; // parts out for each replica that admission always allows
+const LEAST_LIMIT: f64 = 10.0; // parts out for each replica, of all front nodes, that are always allowed
 const LEAST_ROOM: f64 = 8.0; // parts out at one replica that admission always allows
 const GHOST_WEIGHT: f64 = 2.0; // of a failed attempt against a part out, when room is judged
 const SHORT_TRIES: u32 = 16; // so many short tries in a row are no repeats
@@ -124,8 +126,7 @@
                 self.queries.insert(number, query);
             }
         }
-        let waiting = self.set.must_ask && !self.told;
-        if (waiting || !self.queries.is_empty()) && self.wake_at.is_none() {
+        if (self.set.must_ask && !self.told || !self.queries.is_empty()) && self.wake_at.is_none() {
             self.wake_at = Some(now + SWEEP);
             self.actions.push(Action::Timer(SWEEP));
         }
@@ -250,10 +251,9 @@
                 }
                 Outcome::Moot => {}
                 Outcome::Cancelled if !overdue => {}
-                // Failing fast, swallowing parts or refusing them must not make a replica look idle: the
-                // attempt keeps counting, longer after failures in a row, and a long wait is held against
-                // its pace. Covers a server that fails one class only; hurts where errors are harmless. A
-                // time-out before the part was overdue is the query's doing: it is not held against the pace.
+                // Failing, swallowing or refusing must not make a replica look idle: such parts still count,
+                // longer after failures in a row, and a long wait is held against its pace, but no time-out
+                // before a part was overdue. Covers failing one class only; hurts if errors are harmless.
                 _ => {
                     let many = replica.ghosts.len().min(GHOST_GROWTH) as f64;
                     replica.ghosts.push(self.now + ghost.times(1.0 + 0.5 * many));
@@ -308,11 +308,12 @@
     fn judge(&mut self) {
         let now = self.now;
         for slot in &mut self.slots {
-            let latest = |span: Micros| {
-                let young = slot.ring.iter().filter(|(at, _)| now - *at < span);
-                sorted(young.map(|(_, took)| *took), LEAST_SAMPLES)
+            let latest = |span: Micros, most: usize| {
+                let ring = slot.ring.iter().rev().enumerate();
+                let young = ring.take_while(|(n, (at, _))| *n < most || now - *at < span);
+                sorted(young.map(|(_, (_, took))| *took), LEAST_SAMPLES)
             };
-            let (all, fresh) = (latest(Micros(i64::MAX)), latest(STRAIN_WINDOW));
+            let (all, fresh) = (latest(STRAIN_WINDOW, RING), latest(STRAIN_WINDOW, STRAIN_SAMPLES));
             [slot.work, slot.typical, slot.late] = [0.25, 0.5, 0.95].map(|share| quantile(&all, share));
             slot.recent = quantile(&fresh, 0.8);
         }
@@ -323,7 +324,6 @@
             paces.insert(*id, self.pace(replica));
         }
         self.replicas.values_mut().for_each(|replica| replica.ghosts.retain(|until| *until > now));
-        // A light front node meets a replica rarely: what it knows has to last until it meets it again.
         let calls = self.calls.per_second(now, HALF_LIFE).max(EPS);
         self.gap = SECOND.times(paces.len() as f64 / calls).min(HALF_LIFE);
         for flight in self.flights.values().filter(|flight| !flight.cancelled) {
@@ -369,19 +369,21 @@
     /// good time (Little). Covers surge, lost capacity, slowdown of all; hurts if few slow ones set the mark.
     fn set_limit(&mut self) {
         let held = self.queries.values().map(|query| query.parts.len() + 1).sum::<usize>();
-        let mut strain = STRAIN_FROM * held as f64 / f64::from(self.set.limits.held.max(1));
+        let (mut strain, full) = (0.0_f64, held as f64 / f64::from(self.set.limits.held.max(1)));
         for (class, settings) in self.set.classes.iter().enumerate() {
             let recent = |slot: usize| self.slots[slot].recent.unwrap_or_default();
             strain = strain.max((recent(class * 2) + recent(class * 2 + 1)).over(settings.aim));
         }
+        // A few queries fill a light front node: that alone, while parts are answered fast, is no strain.
+        strain = strain.max((STRAIN_FROM * full).min(FULL_TELLS * strain));
         let strained = strain > if self.limit.is_some() { STRAIN_OVER } else { STRAIN_FROM };
         if strained != self.limit.is_some() {
             let word = if strained { "begun" } else { "ended" };
             self.actions.push(Action::Remark(format!("shedding {word}, strain {strain:.2}")));
         }
-        let least = LEAST_LIMIT * self.replicas.len() as f64;
-        let flow = self.flow.per_second(self.now, FLOW_HALF);
-        self.limit = strained.then_some((flow * LIMIT_SHARE).max(least));
+        let least = LEAST_LIMIT * self.replicas.len() as f64 / f64::from(self.set.fleet_size.max(1));
+        let flow = self.flow.per_second(self.now, FLOW_HALF) * LIMIT_SHARE;
+        self.limit = strained.then_some(flow.max(least));
     }
 
     /// What the query earns for each part it needs, as things stand.
@@ -432,14 +434,13 @@
 
     // ---- one query's life ----
 
-    /// When the query is given up: at the client's end, or at the aim if too little is earned later. A query
-    /// ended before that is asked again by its client, which costs more than the parts it still holds.
+    /// When the query is given up: at the client's end, or at the aim if too little is earned later.
     fn stop_at(&self, query: &Query) -> Micros {
         let margin = self.set.tick.times(2.0);
         let class = &self.set.classes[query.class];
-        // What waiting has to beat: a partial answer in time, where one may be given ...
+        // What waiting has to beat: a partial answer in time, where one may be given, and the price of work
+        // that may serve nothing, of each step to come.
         let partial = if class.floor < class.need { class.partial * class.floor / class.need } else { 0.0 };
-        // ... and the price of work that may serve nothing, of each step to come.
         let steps = if query.step == 1 && class.second_step > 0 { 2.0 } else { 1.0 };
         let late = class.late_worth > partial.max(self.set.waste_price * steps);
         (if late { query.end_at } else { query.end_at.min(query.aim_at) }) - margin
@@ -462,10 +463,10 @@
             query.step += 1; // the parts of a second step come with the next batch
             return query.step == 2 && self.set.classes[query.class].second_step > 0;
         }
-        // A query that brings down what it touches does harm with each attempt; one caught by another's harm
-        // soon has an answered part, which clears it. So after a drop nothing is sent while an attempt may
-        // yet be answered, and a second replica's drop ends it. If there is time, one part goes ahead of a
-        // repeat and, where a replica died of late, of a wide query. Hurts if two die by chance at once.
+        // A query that brings down what it touches; one caught by another's harm soon has an answered part,
+        // which clears it. So after a drop nothing is sent while an attempt may yet be answered, a second
+        // replica's drop ends it and, if there is time, one part goes ahead of a repeat and, where a replica
+        // died of late, of a wide query. Hurts if two replicas die by chance at once.
         let attempts = query.parts.iter().flat_map(|part| &part.attempts);
         let unseen = attempts.clone().all(|a| a.never_ran && !a.open);
         let dropped: BTreeSet<ReplicaId> = attempts.filter(|a| a.reset).map(|a| a.replica).collect();
@@ -643,12 +644,11 @@
         let (now, round, fall) = (self.now, self.round, self.set.rules.fall);
         let work = self.slots[slot].work.map_or(fall.0 as f64, |work| work.0 as f64);
         // Where an attempt can't be doubled or cancelled, its time-out must free the part for the next.
-        let limits = &self.set.limits;
         let patience = self.overdue_after(slot).times(2.0);
-        let alone = !limits.may_duplicate || !limits.cancel;
+        let alone = !self.set.limits.may_duplicate || !self.set.limits.cancel;
         let timeout = if alone { patience.min(stop - now) } else { stop - now };
         let Some(replica) = self.replicas.get_mut(&id) else { return };
-        if replica.call.0 == round && replica.call.2 < limits.batch {
+        if replica.call.0 == round && replica.call.2 < self.set.limits.batch {
             replica.call.2 += 1;
         } else {
             self.last_call += 1;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -992,3 +992,28 @@
     assert!(sends(&world.wait(ms(480))).is_empty());
     assert_eq!(sends(&world.wait(ms(40))).len(), 1);
 }
+
+#[test]
+fn a_light_front_node_that_is_full_does_not_shed_while_parts_are_answered_fast() {
+    let mut set = settings();
+    (set.fleet_size, set.limits.held) = (60, 12);
+    let mut world = World::new(set, 8);
+    world.warm_up(20);
+    for _ in 0..4 {
+        let (_, actions) = world.query(0, &[0, 1, 2, 3]);
+        assert_eq!(sends(&actions).len(), 4, "{actions:?}");
+    }
+}
+
+#[test]
+fn under_strain_the_parts_always_allowed_are_shared_by_all_front_nodes() {
+    let mut world = hundred();
+    for round in 0..10 {
+        world.query(0, &[round * 9, round * 9 + 3, round * 9 + 6, round * 9 + 8]);
+        world.now = world.now + ms(800);
+        world.end_all(Outcome::Ok, |_| true);
+    }
+    // A hundred replicas, sixty front nodes: eight parts or so each, far from two at each replica.
+    let served = (0..10).filter(|_| !sends(&world.query(0, &[5, 25, 45, 65]).1).is_empty()).count();
+    assert!((1..=4).contains(&served), "{served} of ten at once");
+}
