Share the floor of the room at a replica among all front nodes

On the wire p95 of parts rose from 0.7 to 2.2 s, no server was at fault and 20 of 45 front nodes shed at a time; each still let eight parts wait at every replica, 360 from all together, where a dozen are answered in the aim. Rivals: stalled front nodes (the loss began twelve seconds before the first stall), servers failing (no error, no reset).

The floor is now 40 parts for all front nodes, at least two for each, at most eight as before: nothing changes where front nodes are few. May hurt a light front node whose few queries want one shard.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,7 +36,8 @@
 const FLOW_HALF: Micros = Micros(1_000_000); // half-life of the flow of answers
 const LIMIT_SHARE: f64 = 0.6; // share of the aim that parts may take on average while under strain
 const LEAST_LIMIT: f64 = 10.0; // parts out for each replica, of all front nodes, that are always allowed
-const LEAST_ROOM: f64 = 8.0; // parts out at one replica that admission always allows
+const LEAST_ROOM: f64 = 8.0; // parts out at one replica that admission always allows ...
+const FLEET_ROOM: f64 = 40.0; // ... less where all front nodes together would make more than this
 const GHOST_WEIGHT: f64 = 2.0; // of a failed attempt against a part out, when room is judged
 const SHORT_TRIES: u32 = 16; // so many short tries in a row are no repeats
 const OVER_QUOTA: f64 = 1.3; // a tenant beyond this multiple of our share of its quota is over it
@@ -415,21 +416,20 @@
         // A query whose shards are down by the list's word, or whose holders all have as much out as they
         // answer in good time, can't be answered and must not hold up others; with no list it waits.
         let on = |replica: &Replica| replica.lifecycle == Lifecycle::On;
+        let floor = (FLEET_ROOM / f64::from(self.set.fleet_size.max(1))).clamp(2.0, LEAST_ROOM);
         let has_room = |replica: &Replica| {
-            let limit = (replica.flow.per_second(self.now, FLOW_HALF) * LIMIT_SHARE).max(LEAST_ROOM);
+            let limit = (replica.flow.per_second(self.now, FLOW_HALF) * LIMIT_SHARE).max(floor);
             limit > f64::from(replica.out) + GHOST_WEIGHT * replica.ghosts.len() as f64
         };
         let free = |(_, replica): (&ReplicaId, &Replica)| on(replica) && has_room(replica);
         let up = |part: &&Part| self.holders(part.shard).any(free);
-        let listed = self.replicas.values().any(on);
         let reach: f64 = query.parts.iter().filter(up).map(|part| part.weight).sum();
         let parts = query.parts.len() as f64 * class.need;
         let share = 1.0 - RANK_TILT * (1.0 - rank);
-        // Only parts at replicas from which answers are to be expected take up room.
         let sound = |flight: &&Flight| self.replicas[&flight.replica].factor < CONDEMNED && !flight.cancelled;
         let out = self.flights.values().filter(sound).count() as f64;
         let room = self.limit.is_none_or(|limit| out + parts <= (limit * share).max(parts));
-        !worthless && room && (!listed || reach > class.floor - EPS)
+        !worthless && room && (reach > class.floor - EPS || !self.replicas.values().any(on))
     }
 
     // ---- one query's life ----
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1017,3 +1017,19 @@
     let served = (0..10).filter(|_| !sends(&world.query(0, &[5, 25, 45, 65]).1).is_empty()).count();
     assert!((1..=4).contains(&served), "{served} of ten at once");
 }
+
+#[test]
+fn where_front_nodes_are_many_a_few_parts_fill_a_replica_that_answers_nothing() {
+    let declined = |fleet_size| {
+        let mut set = settings();
+        set.fleet_size = fleet_size;
+        let mut world = World::new(set, 2);
+        let query = |world: &mut World| world.query(0, &[0, 0]).1;
+        let first = query(&mut world);
+        assert_eq!(sends(&first).len(), 2);
+        query(&mut world);
+        let third = query(&mut world);
+        sends(&third).is_empty() && finals(&third).len() == 1
+    };
+    assert!(!declined(2) && declined(60));
+}
