--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1033,3 +1033,32 @@
     };
     assert!(!declined(2) && declined(60));
 }
+
+#[test]
+fn an_empty_list_and_a_replica_named_twice_leave_every_query_with_one_final_answer() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(5);
+    // Named twice in one list: the later line counts, and it is one replica, not two.
+    let twice = vec![
+        line(0, Lifecycle::Gone, None),
+        line(0, Lifecycle::On, None),
+        line(1, Lifecycle::On, None),
+        line(1, Lifecycle::Draining, None),
+    ];
+    world.tell(vec![Event::List { replicas: twice, stored: false }]);
+    let (served, actions) = world.query(0, &[0]);
+    assert_eq!(sends(&actions).iter().map(|(_, replica)| *replica).collect::<Vec<_>>(), [0]);
+    world.now = world.now + ms(100);
+    let actions = world.end_all(Outcome::Ok, |_| true);
+    assert_eq!(finals(&actions), [Action::Answer { query: served, whole: true }]);
+    // An empty list takes everything away: nothing is sent, and the query ends before its client leaves.
+    world.tell(vec![Event::List { replicas: Vec::new(), stored: false }]);
+    let (id, events) = world.query_events(0, &[0, 1], ms(800));
+    let mut ends = finals(&world.tell(events));
+    for _ in 0..40 {
+        let actions = world.wait(ms(20));
+        assert!(sends(&actions).is_empty());
+        ends.extend(finals(&actions));
+    }
+    assert!(matches!(ends[..], [Action::Refuse { query, .. }] if query == id), "{ends:?}");
+}
