--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -12,10 +12,13 @@
     let mut output = BufWriter::new(io::stdout().lock());
     let mut link = wire::Link::default();
     for (index, line) in io::stdin().lock().lines().enumerate() {
-        let done = line
-            .map_err(|error| error.to_string())
-            .and_then(|line| link.take(&line, &mut output))
-            .and_then(|over| if over { output.flush().map_err(|error| error.to_string()) } else { Ok(()) });
+        let done = line.map_err(Into::into).and_then(|line| link.take(&line, &mut output)).and_then(|over| {
+            if over {
+                output.flush().map_err(Into::into)
+            } else {
+                Ok(())
+            }
+        });
         if let Err(message) = done {
             eprintln!("pinetrestle-benchlink: line {}: {message}", index + 1);
             return ExitCode::FAILURE;
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -2,18 +2,19 @@
 
 use pinetrestle::interface::*;
 use pinetrestle::FrontNode;
+use pinetrestle_settings::fields::{count, field, flag, id, int, list, maybe, micros, number, text};
+use pinetrestle_settings::Deployment;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap};
 use std::io::Write;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
-type Parsed<T> = Result<T, String>;
+type Parsed<T> = Result<T, Box<dyn std::error::Error>>;
 
 /// One instance: its front node and the names it was given.
 struct Instance {
     node: FrontNode,
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    deployment: Deployment,
     servers: Vec<String>,
     numbers: HashMap<String, ReplicaId>,
     events: Vec<Event>,
@@ -29,144 +30,12 @@
     touched: Vec<u64>,
 }
 
-fn field<'a>(value: &'a Value, name: &str) -> Parsed<&'a Value> {
-    match value.get(name) {
-        Some(Value::Null) | None => Err(format!("field '{name}' is missing")),
-        Some(found) => Ok(found),
-    }
-}
-
-fn int(value: &Value, name: &str) -> Parsed<i64> {
-    field(value, name)?.as_i64().ok_or_else(|| format!("field '{name}' is not a whole number"))
-}
-
-fn count(value: &Value, name: &str) -> Parsed<u64> {
-    field(value, name)?.as_u64().ok_or_else(|| format!("field '{name}' is not a count"))
-}
-
-fn id(value: &Value, name: &str) -> Parsed<u32> {
-    u32::try_from(count(value, name)?).map_err(|_| format!("field '{name}' is out of range"))
-}
-
-fn micros(value: &Value, name: &str) -> Parsed<Micros> {
-    int(value, name).map(Micros)
-}
-
-fn number(value: &Value, name: &str) -> Parsed<f64> {
-    field(value, name)?.as_f64().ok_or_else(|| format!("field '{name}' is not a number"))
-}
-
-fn text<'a>(value: &'a Value, name: &str) -> Parsed<&'a str> {
-    field(value, name)?.as_str().ok_or_else(|| format!("field '{name}' is not text"))
-}
-
-fn flag(value: &Value, name: &str) -> Parsed<bool> {
-    field(value, name)?.as_bool().ok_or_else(|| format!("field '{name}' is not true or false"))
-}
-
-fn list<'a>(value: &'a Value, name: &str) -> Parsed<&'a Vec<Value>> {
-    field(value, name)?.as_array().ok_or_else(|| format!("field '{name}' is not a list"))
-}
-
-/// A field that may be absent.
-fn maybe<T>(value: &Value, name: &str, read: impl Fn(&Value, &str) -> Parsed<T>) -> Parsed<Option<T>> {
-    if value.get(name).is_none_or(Value::is_null) {
-        return Ok(None);
-    }
-    read(value, name).map(Some)
-}
-
-fn place(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|known| known == name)
-}
-
-fn names(values: &[Value], name: &str) -> Parsed<Vec<String>> {
-    values.iter().map(|value| text(value, name).map(str::to_owned)).collect()
-}
-
-fn nth(values: &[Value], index: usize, name: &str) -> Parsed<f64> {
-    let found = values.get(index).and_then(Value::as_f64);
-    found.ok_or_else(|| format!("field '{name}' has no number for class {index}"))
-}
-
-fn settings(options: &Value) -> Parsed<Settings> {
-    let info = field(options, "family_info")?;
-    let (floors, needs) = (list(info, "class_floor")?, list(info, "need_by_class")?);
-    let (partials, steps) = (list(info, "partial_earns")?, list(info, "second_step")?);
-    let mut classes = Vec::new();
-    for (index, class) in list(options, "classes")?.iter().enumerate() {
-        classes.push(Class {
-            aim: micros(class, "aim")?,
-            aim_stretch: maybe(class, "aim_stretch", number)?.unwrap_or(0.0),
-            deadline: micros(class, "hard_limit")?,
-            worth: number(class, "gain")?,
-            late_worth: number(class, "late_worth")?,
-            effect: match text(class, "effect")? {
-                "retryable" => Effect::Safe,
-                "dedup" => Effect::Keyed,
-                _ => Effect::Unsafe,
-            },
-            keyed_window: micros(class, "dedup_window")?,
-            need: nth(needs, index, "need_by_class")?,
-            floor: nth(floors, index, "class_floor")?,
-            partial: nth(partials, index, "partial_earns")?,
-            second_step: nth(steps, index, "second_step")? as u32,
-        });
-    }
-    let tenants = list(options, "projects")?.iter();
-    let tenants = tenants.map(|tenant| Ok(Tenant { quota_per_s: number(tenant, "quota_per_s")? }));
-    let (limits, rules) = (field(options, "permissions")?, field(options, "rules")?);
-    let retry_budget = match maybe(rules, "counted_over", micros)? {
-        None => None,
-        Some(window) => Some(RetryBudget {
-            window,
-            floor: maybe(rules, "extra_floor", number)?.unwrap_or(0.0),
-            share: maybe(rules, "extra_per_request", number)?.unwrap_or(0.0),
-        }),
-    };
-    Ok(Settings {
-        fleet_size: id(options, "fleet_size")?,
-        classes,
-        tenants: tenants.collect::<Parsed<_>>()?,
-        over_quota_worth: maybe(options, "over_share_worth", number)?.unwrap_or(1.0),
-        waste_price: match options.get("fees") {
-            Some(fees) => maybe(fees, "waste", number)?.unwrap_or(0.0),
-            None => 0.0,
-        },
-        marks_repeats: match options.get("clients") {
-            Some(clients) => maybe(clients, "marks_retry", flag)?.unwrap_or(false),
-            None => false,
-        },
-        must_ask: text(options, "discovery")? != "push",
-        cells: id(info, "positions")?,
-        span: id(info, "span")?,
-        tick: micros(options, "quantum")?,
-        limits: Limits {
-            attempts: id(limits, "try_limit")?,
-            may_duplicate: flag(limits, "may_duplicate")?,
-            cancel: flag(limits, "cancel")?,
-            retry_after: flag(limits, "retry_after")?,
-            max_retry_after: maybe(limits, "max_retry_after", micros)?.unwrap_or_default(),
-            held: id(limits, "most_held")?,
-            batch: id(info, "batch")?,
-        },
-        rules: Rules {
-            cold_share: number(rules, "cold_share")?,
-            warm_within: micros(rules, "warm_within")?,
-            tip_multiple: number(rules, "tip_multiple")?,
-            fall: micros(rules, "fall")?,
-            ask_within: maybe(rules, "must_ask_in", micros)?.unwrap_or_default(),
-            retry_budget,
-        },
-    })
-}
-
 impl Instance {
     fn new(seed: u64, options: &Value, now: Micros) -> Parsed<Instance> {
+        let deployment = pinetrestle_settings::read(options)?;
         Ok(Instance {
-            node: FrontNode::new(settings(options)?, seed, now),
-            classes: names(list(options, "classes")?, "name")?,
-            tenants: names(list(options, "projects")?, "name")?,
+            node: FrontNode::new(deployment.settings.clone(), seed, now),
+            deployment,
             servers: Vec::new(),
             numbers: HashMap::new(),
             events: Vec::new(),
@@ -230,8 +99,8 @@
                 Event::Query {
                     id,
                     number,
-                    class: place(&self.classes, text(line, "lane")?).unwrap_or(usize::MAX),
-                    tenant: tenant.and_then(|name| place(&self.tenants, name)),
+                    class: self.deployment.class(text(line, "lane")?).unwrap_or(usize::MAX),
+                    tenant: tenant.and_then(|name| self.deployment.tenant(name)),
                     expires_in: micros(line, "expires_in")?,
                     hint,
                     repeat: maybe(line, "repeat", flag)?.unwrap_or(false),
--- /dev/null
+++ b/crates/node/src/clients.rs
@@ -0,0 +1,384 @@
+//! Connections of clients: the listener and the task that drives each connection.
+
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::host::{Ask, NotTaken, Reply};
+use crate::run::Message;
+use crate::shutdown::{reached, Phase, Phases};
+use pinetrestle::interface::Micros;
+use pinetrestle_protocol::query::{self, fields, reason_body};
+use pinetrestle_protocol::requests::{answer_head, Progress, Request, Requests};
+use slog::{info, warn, Logger};
+use std::cell::Cell;
+use std::io::{ErrorKind, IoSlice};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, Interest};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::time::{timeout, timeout_at, Instant};
+
+/// Bytes of one read.
+const READ: usize = 16 * 1024;
+/// How long accepting rests after it has failed, as it does when descriptors run out.
+const ACCEPT_REST: Duration = Duration::from_millis(20);
+
+/// What all connections of clients share.
+pub struct Front {
+    /// Configuration.
+    pub config: Rc<Config>,
+    /// Counts.
+    pub counters: Rc<Counters>,
+    /// Where queries go.
+    pub to_core: mpsc::Sender<Message>,
+    /// For one line a connection.
+    pub log: Logger,
+    /// Whether there is anyone to send parts to.
+    pub ready: Rc<Cell<bool>>,
+    /// Rung when a connection between requests should make room for another.
+    pub crowded: Notify,
+    /// Rung when a connection has ended.
+    pub ended: Notify,
+    /// Numbers the queries of all connections.
+    pub tokens: Cell<u64>,
+}
+
+/// Accepts connections until the front node closes, then those that wait already.
+pub async fn listen(front: Rc<Front>, listener: TcpListener, mut phases: Phases) {
+    let most = front.config.transport.client_connections as u64;
+    let mut closing = phases.clone();
+    let mut begun_closing = false;
+    loop {
+        if front.counters.connections.clients_open.get() >= most {
+            // The connection that has rested longest makes room; where none rests, the next waits its turn.
+            front.crowded.notify_one();
+            front.ended.notified().await;
+            continue;
+        }
+        let accepted = if begun_closing {
+            // Whatever waits in the kernel's queue has been accepted by this machine: it is served.
+            match timeout(Duration::ZERO, listener.accept()).await {
+                Ok(accepted) => accepted,
+                Err(_) => return,
+            }
+        } else {
+            tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = reached(&mut closing, Phase::Closing) => {
+                    begun_closing = true;
+                    continue;
+                }
+            }
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                front.counters.connections.clients_accepted.one();
+                front.counters.connections.clients_open.one();
+                tokio::task::spawn_local(Client::run(front.clone(), stream, peer, phases.clone()));
+            }
+            Err(error) => {
+                front.counters.connections.accept_failed.one();
+                warn!(front.log, "accepting failed"; "error" => %error);
+                tokio::time::sleep(ACCEPT_REST).await;
+            }
+        }
+        phases.borrow_and_update();
+    }
+}
+
+/// An answer on its way to a client.
+struct Answer {
+    status: u16,
+    body: Vec<u8>,
+    retry_after: Option<i64>,
+}
+
+impl Answer {
+    fn reason(status: u16, code: &str) -> Answer {
+        Answer { status, body: reason_body(code), retry_after: None }
+    }
+}
+
+/// What a request asks for.
+enum Asked {
+    Query(Box<Ask>),
+    Answered(Answer),
+}
+
+/// One connection of a client.
+struct Client {
+    front: Rc<Front>,
+    stream: TcpStream,
+    phases: Phases,
+    requests: Requests,
+    buffer: Vec<u8>,
+    served: u64,
+    bytes_in: u64,
+    bytes_out: u64,
+}
+
+/// Why a connection goes no further.
+type Over = &'static str;
+
+impl Client {
+    async fn run(front: Rc<Front>, stream: TcpStream, peer: SocketAddr, phases: Phases) {
+        let begun = Instant::now();
+        // Without it answers would wait for acknowledgements; the connection works all the same.
+        let _ = stream.set_nodelay(true);
+        let mut client = Client {
+            front: front.clone(),
+            stream,
+            phases,
+            requests: Requests::default(),
+            buffer: vec![0; READ],
+            served: 0,
+            bytes_in: 0,
+            bytes_out: 0,
+        };
+        let reason = loop {
+            if let Err(reason) = client.exchange().await {
+                break reason;
+            }
+        };
+        if !matches!(reason, "client_closed" | "client_gone" | "reset" | "write_failed" | "write_stalled") {
+            client.part().await;
+        }
+        front.counters.connections.clients_open.less();
+        front.ended.notify_one();
+        info!(front.log, "connection ended"; "side" => "client", "peer" => %peer,
+            "age_ms" => begun.elapsed().as_millis() as u64, "requests" => client.served,
+            "in" => client.bytes_in, "out" => client.bytes_out, "reason" => reason);
+    }
+
+    /// One request and its answer.
+    async fn exchange(&mut self) -> Result<(), Over> {
+        let arrived = self.read_request().await?;
+        self.served += 1;
+        self.front.counters.connections.requests.one();
+        let Some(request) = self.requests.request() else { return Err("io_error") };
+        let keeps = request.keeps_alive();
+        let asked = self.front.read(&request, arrived);
+        let answer = match asked {
+            Asked::Answered(answer) => answer,
+            Asked::Query(ask) => self.put(*ask).await?,
+        };
+        self.requests.finish();
+        let closing = *self.phases.borrow() >= Phase::Closing;
+        self.write(answer, !keeps || closing).await?;
+        if !keeps {
+            return Err("closed_as_asked");
+        }
+        if closing {
+            Err("shutdown")
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Reads until a request is whole, and says when it began.
+    async fn read_request(&mut self) -> Result<Instant, Over> {
+        let transport = self.front.config.transport.clone();
+        // What was sent ahead of the last answer has begun by now.
+        let mut arrived = (!self.requests.is_empty()).then(Instant::now);
+        let rests_since = Instant::now();
+        loop {
+            match self.requests.progress() {
+                Ok(Progress::Whole) => return Ok(arrived.unwrap_or_else(Instant::now)),
+                Ok(Progress::Partial) => {
+                    let begun = *arrived.get_or_insert_with(Instant::now);
+                    match timeout_at(begun + transport.request, self.read()).await {
+                        Ok(result) => result?,
+                        Err(_) => {
+                            self.write(Answer::reason(408, "request_timeout"), true).await?;
+                            return Err("request_timeout");
+                        }
+                    };
+                }
+                Ok(Progress::Between) => {
+                    let front = self.front.clone();
+                    let mut phases = self.phases.clone();
+                    tokio::select! {
+                        biased;
+                        result = self.read() => {
+                            result?;
+                            arrived = Some(Instant::now());
+                        }
+                        () = reached(&mut phases, Phase::Closing) => return Err("shutdown"),
+                        () = front.crowded.notified() => return Err("made_room"),
+                        () = tokio::time::sleep_until(rests_since + transport.client_idle) => return Err("idle"),
+                    }
+                }
+                Err(error) => {
+                    self.front.counters.connections.bad_requests.one();
+                    self.write(Answer::reason(error.status(), error.code()), true).await?;
+                    return Err(error.code());
+                }
+            }
+        }
+    }
+
+    /// Waits for bytes and takes them.
+    async fn read(&mut self) -> Result<(), Over> {
+        loop {
+            if self.stream.readable().await.is_err() {
+                return Err("io_error");
+            }
+            match self.stream.try_read(&mut self.buffer) {
+                Ok(0) => {
+                    return Err(if self.requests.is_empty() { "client_closed" } else { "client_gone" });
+                }
+                Ok(count) => {
+                    self.bytes_in += count as u64;
+                    self.front.counters.connections.client_bytes_in.more(count as u64);
+                    self.requests.feed(&self.buffer[..count]);
+                    return Ok(());
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return Err("reset"),
+            }
+        }
+    }
+
+    /// Puts a query and waits for its answer, or for the client to leave.
+    async fn put(&mut self, ask: Ask) -> Result<Answer, Over> {
+        let token = self.front.tokens.get();
+        self.front.tokens.set(token + 1);
+        let (reply, mut answer) = oneshot::channel();
+        let front = self.front.clone();
+        // The receiver is there as long as the program serves.
+        let _ = front.to_core.send(Message::Query { token, ask: Box::new(ask), reply }).await;
+        loop {
+            tokio::select! {
+                biased;
+                reply = &mut answer => return Ok(Answer::of(reply)),
+                read = self.read(), if self.requests.wants() => {
+                    if read.is_err() {
+                        let _ = front.to_core.send(Message::Gone { token }).await;
+                        return Err("client_gone");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Writes an answer, head and body in one gathered write.
+    async fn write(&mut self, answer: Answer, close: bool) -> Result<(), Over> {
+        let head = answer_head(answer.status, answer.body.len(), answer.retry_after, close);
+        let until = Instant::now() + self.front.config.transport.answer_write;
+        let total = head.len() + answer.body.len();
+        let mut done = 0;
+        while done < total {
+            let from = done.saturating_sub(head.len());
+            let slices = [IoSlice::new(&head[done.min(head.len())..]), IoSlice::new(&answer.body[from..])];
+            match self.stream.try_write_vectored(&slices) {
+                Ok(count) => {
+                    done += count;
+                    self.bytes_out += count as u64;
+                    self.front.counters.connections.client_bytes_out.more(count as u64);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    match timeout_at(until, self.stream.ready(Interest::WRITABLE)).await {
+                        Ok(Ok(_)) => {}
+                        Ok(Err(_)) => return Err("write_failed"),
+                        Err(_) => return Err("write_stalled"),
+                    }
+                }
+                Err(_) => return Err("write_failed"),
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends the connection from our side: says so, then reads on for a moment, since bytes left unread would
+    /// make the kernel take back what the client has not read yet.
+    async fn part(&mut self) {
+        let linger = self.front.config.transport.linger;
+        // A connection that is gone already needs no farewell.
+        let _ = self.stream.shutdown().await;
+        let _ = timeout(linger, async {
+            loop {
+                if self.stream.readable().await.is_err() {
+                    return;
+                }
+                match self.stream.try_read(&mut self.buffer) {
+                    Ok(0) => return,
+                    Ok(_) => {}
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+        })
+        .await;
+    }
+}
+
+impl Answer {
+    fn of(reply: Result<Result<Reply, NotTaken>, oneshot::error::RecvError>) -> Answer {
+        let refused = |retry_after, code| Answer { status: 503, body: reason_body(code), retry_after };
+        match reply {
+            Ok(Ok(Reply::Served { body, .. })) => Answer { status: 200, body, retry_after: None },
+            Ok(Ok(Reply::Refused { retry_after })) => refused(retry_after, "refused"),
+            Ok(Ok(Reply::Failed)) | Err(_) => Answer::reason(500, "failed"),
+            Ok(Err(NotTaken::OverHeld { retry_after })) => refused(retry_after, "over_held"),
+            Ok(Err(NotTaken::SameId)) => Answer::reason(409, "id_in_use"),
+        }
+    }
+}
+
+impl Front {
+    /// Reads what a request asks for.
+    fn read(&self, request: &Request<'_>, arrived: Instant) -> Asked {
+        match (request.method(), request.path()) {
+            ("GET", "/health/ready") => Asked::Answered(match self.ready.get() {
+                true => Answer::reason(200, "ready"),
+                false => Answer::reason(503, "not_ready"),
+            }),
+            ("GET", "/health/live") => Asked::Answered(Answer::reason(200, "live")),
+            ("GET", "/stats") => {
+                let body = format!("{:#}\n", self.counters.report()).into_bytes();
+                Asked::Answered(Answer { status: 200, body, retry_after: None })
+            }
+            ("POST", path) => match self.query(request, path, arrived) {
+                Ok(ask) => Asked::Query(Box::new(ask)),
+                Err((status, code)) => {
+                    self.counters.connections.bad_requests.one();
+                    Asked::Answered(Answer::reason(status, code))
+                }
+            },
+            ("GET", _) => {
+                self.counters.connections.bad_requests.one();
+                Asked::Answered(Answer::reason(404, "unknown_path"))
+            }
+            _ => {
+                self.counters.connections.bad_requests.one();
+                Asked::Answered(Answer::reason(405, "unknown_method"))
+            }
+        }
+    }
+
+    fn query(&self, request: &Request<'_>, path: &str, arrived: Instant) -> Result<Ask, (u16, &'static str)> {
+        let deployment = &self.config.deployment;
+        let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+        let name = request.field(fields::CLASS).unwrap_or(first);
+        let class = deployment.class(name).ok_or((404, "unknown_class"))?;
+        if name != first && deployment.class(first).is_some() {
+            return Err((400, "two_classes"));
+        }
+        let tenant = match request.field(fields::TENANT) {
+            Some(name) if !deployment.tenants.is_empty() => {
+                Some(deployment.tenant(name).ok_or((400, "unknown_tenant"))?)
+            }
+            _ => None,
+        };
+        let bad = |error: query::BadQuery| (400, error.code());
+        let trace = query::query_id(request.field(fields::ID)).map_err(bad)?.to_owned();
+        let expiry = query::expiry(request.field(fields::EXPIRES)).map_err(bad)?;
+        let body = query::parse(request.body, self.config.shards).map_err(bad)?;
+        // Nobody waits longer than the class allows, whatever a request says.
+        let most = deployment.settings.classes[class].deadline;
+        let expires_in = Micros(expiry).min(most) - Micros(arrived.elapsed().as_micros() as i64);
+        let repeat = request.field(fields::REPEAT) == Some("1");
+        Ok(Ask { trace, class, tenant, expires_in, repeat, parts: body.parts, text: body.text.into() })
+    }
+}
--- /dev/null
+++ b/crates/node/src/config.rs
@@ -0,0 +1,210 @@
+//! The one place where configuration is read, checked and given defaults.
+
+use pinetrestle_protocol::registry::{self, News};
+use pinetrestle_settings::fields::{count, field, id, maybe, text, Fault, Parsed};
+use pinetrestle_settings::Deployment;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Variables of the environment that stand in for keys the file lacks.
+const VARIABLES: [(&str, &str); 3] =
+    [("name", "RELAY_NAME"), ("listen", "RELAY_LISTEN"), ("discovery", "RELAY_DISCOVERY")];
+/// The variable that names the file.
+const FILE: &str = "RELAY_CONFIG";
+/// Least number of descriptors with which a front node can work.
+const LEAST_SOCKETS: u64 = 64;
+/// Descriptors that are no connections: standard streams, the poller, the listener, discovery, spares.
+const OTHER_DESCRIPTORS: usize = 24;
+
+/// Figures of the sockets that no settings state. Each can be set in the object `transport` of the file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Transport {
+    /// A request that has begun must be there by then.
+    pub request: Duration,
+    /// A connection between requests is closed after this long.
+    pub client_idle: Duration,
+    /// An answer must be taken off our hands by then.
+    pub answer_write: Duration,
+    /// How long a connection that we end is read on, so that the last answer reaches its client.
+    pub linger: Duration,
+    /// A new connection to an index server must be up by then.
+    pub connect: Duration,
+    /// A connection to an index server without traffic is closed after this long.
+    pub server_idle: Duration,
+    /// Parts that one connection to an index server carries at once.
+    pub streams: usize,
+    /// Bytes that may wait to be written on one connection to an index server.
+    pub server_backlog: usize,
+    /// Connections to index servers at most.
+    pub server_connections: usize,
+    /// Connections of clients at most.
+    pub client_connections: usize,
+    /// Discovery must have begun to answer by then.
+    pub discovery_answer: Duration,
+    /// A watch that says nothing for this long is lost; a sign of life is due every 2 s.
+    pub watch_silence: Duration,
+    /// Where the list is pushed, a lost watch is asked for again after this long.
+    pub watch_again: Duration,
+    /// After SIGTERM, new connections are taken for this long.
+    pub hand_over: Duration,
+    /// After SIGTERM, what was taken must be answered by then.
+    pub stop_within: Duration,
+}
+
+/// Everything a front node is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// The list as it was last known, possibly old.
+    pub known: News,
+    /// The settings.
+    pub deployment: Deployment,
+    /// Number of shards.
+    pub shards: u32,
+    /// Figures of the sockets.
+    pub transport: Transport,
+}
+
+fn address(value: &Value, name: &str) -> Parsed<SocketAddr> {
+    text(value, name)?.parse().map_err(|_| Fault::new(name, "is not an address with a port"))
+}
+
+fn seed(value: &Value, name: &str) -> Parsed<u64> {
+    match field(value, name)? {
+        Value::String(digits) => u64::from_str_radix(digits, 16).ok(),
+        number => number.as_u64().or_else(|| number.as_i64().map(|seed| seed as u64)),
+    }
+    .ok_or_else(|| Fault::new(name, "is not 16 hex digits"))
+}
+
+/// What may stand in the object `transport`, in milliseconds, bytes or counts.
+const KNOBS: [&str; 15] = [
+    "request_ms",
+    "client_idle_ms",
+    "answer_write_ms",
+    "linger_ms",
+    "connect_ms",
+    "server_idle_ms",
+    "streams",
+    "server_backlog_bytes",
+    "server_connections",
+    "client_connections",
+    "discovery_answer_ms",
+    "watch_silence_ms",
+    "watch_again_ms",
+    "hand_over_ms",
+    "stop_within_ms",
+];
+
+fn transport(knobs: &Value, deployment: &Deployment, sockets: usize) -> Parsed<Transport> {
+    if let Some(object) = knobs.as_object() {
+        if let Some(key) = object.keys().find(|key| !KNOBS.contains(&key.as_str())) {
+            return Err(Fault::new(key, "is not known"));
+        }
+    } else if !knobs.is_null() {
+        return Err(Fault::new("", "is not an object"));
+    }
+    let set = |name: &str, default: u64| {
+        let found = maybe(knobs, name, count)?.unwrap_or(default);
+        if found == 0 {
+            Err(Fault::new(name, "must be more than 0"))
+        } else {
+            Ok(found)
+        }
+    };
+    let ms = |name: &str, default: u64| set(name, default).map(Duration::from_millis);
+    let stated = &deployment.transport;
+    let millis = |micros: pinetrestle::interface::Micros| (micros.0 / 1000).max(1) as u64;
+    // The index server closes at its own limit at the latest; ours lies a fifth before it.
+    let idle = stated.conn_idle.map_or(8_000, |idle| millis(idle) * 4 / 5);
+    // The kill comes no earlier than the longest deadline, or 3 s, plus 0.7 s after SIGTERM.
+    let longest = deployment.settings.classes.iter().map(|class| millis(class.deadline)).max();
+    let stop = longest.unwrap_or(3_000).min(3_000) + 400;
+    let room = sockets.saturating_sub(OTHER_DESCRIPTORS);
+    let servers = set("server_connections", (room as u64 / 3).max(1))? as usize;
+    let clients = set("client_connections", room.saturating_sub(servers).max(1) as u64)? as usize;
+    if servers + clients > room {
+        return Err(Fault::new("client_connections", format!("leaves no room: limits.sockets is {sockets}")));
+    }
+    Ok(Transport {
+        request: ms("request_ms", 10_000)?,
+        client_idle: ms("client_idle_ms", 120_000)?,
+        answer_write: ms("answer_write_ms", 10_000)?,
+        linger: ms("linger_ms", 500)?,
+        connect: ms("connect_ms", stated.connect_timeout.map_or(250, millis))?,
+        server_idle: ms("server_idle_ms", idle.max(1))?,
+        streams: set("streams", stated.streams_per_conn.map_or(32, u64::from))? as usize,
+        server_backlog: set("server_backlog_bytes", 256 * 1024)? as usize,
+        server_connections: servers,
+        client_connections: clients,
+        discovery_answer: ms("discovery_answer_ms", 3_000)?,
+        watch_silence: ms("watch_silence_ms", 3_000)?,
+        watch_again: ms("watch_again_ms", 500)?,
+        hand_over: ms("hand_over_ms", 500)?,
+        stop_within: ms("stop_within_ms", stop)?,
+    })
+}
+
+impl Config {
+    /// Reads the configuration from its JSON value.
+    pub fn from_json(file: &Value) -> Parsed<Config> {
+        if !file.is_object() {
+            return Err(Fault::new(FILE, "is not a JSON object"));
+        }
+        let deployment = pinetrestle_settings::read(field(file, "settings")?);
+        let deployment = deployment.map_err(|fault| fault.within("settings"))?;
+        let known = match file.get("known") {
+            None | Some(Value::Null) => News { index: 0, whole: true, entries: Vec::new() },
+            Some(known) => registry::news(known)
+                .map_err(|fault| Fault::new(fault.0, "is missing or malformed").within("known"))?,
+        };
+        let shards = deployment.transport.shards.filter(|shards| *shards > 0);
+        let shards = shards.ok_or_else(|| Fault::new("settings.family_info.slabs", "is missing"))?;
+        let sockets = match file.get("limits") {
+            None => None,
+            Some(limits) => maybe(limits, "sockets", count).map_err(|fault| fault.within("limits"))?,
+        };
+        let sockets = sockets.unwrap_or(1024);
+        if sockets < LEAST_SOCKETS {
+            return Err(Fault::new("limits.sockets", format!("is under {LEAST_SOCKETS}")));
+        }
+        let knobs = transport(file.get("transport").unwrap_or(&Value::Null), &deployment, sockets as usize);
+        let config = Config {
+            name: text(file, "name")?.to_owned(),
+            listen: address(file, "listen")?,
+            discovery: address(file, "discovery")?,
+            seed: seed(file, "seed")?,
+            known,
+            transport: knobs.map_err(|fault| fault.within("transport"))?,
+            deployment,
+            shards,
+        };
+        id(file.get("settings").unwrap_or(file), "fleet_size").map_err(|fault| fault.within("settings"))?;
+        Ok(config)
+    }
+
+    /// Reads the configuration that the environment names.
+    pub fn from_environment() -> Parsed<Config> {
+        let path = std::env::var(FILE).map_err(|_| Fault::new(FILE, "is not set"))?;
+        let bytes = std::fs::read(&path)
+            .map_err(|error| Fault::new(FILE, format!("can't be read: {path}: {error}")))?;
+        let mut file: Value = serde_json::from_slice(&bytes)
+            .map_err(|error| Fault::new(FILE, format!("is not JSON: {path}: {error}")))?;
+        if let Some(object) = file.as_object_mut() {
+            for (key, variable) in VARIABLES {
+                if let (false, Ok(value)) = (object.contains_key(key), std::env::var(variable)) {
+                    object.insert(key.to_owned(), Value::String(value));
+                }
+            }
+        }
+        Config::from_json(&file)
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,20 @@
+//! The front node on real sockets, as a library: embed it with [`serve`], or start the program, which does
+//! no more than [`main_from_environment`].
+//!
+//! Everything runs on one thread. [`host::Host`] owns the decision module and is plain data; the tasks
+//! around it feed it through one bounded channel and carry out what it orders.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod clients;
+pub mod config;
+pub mod counters;
+mod discovery;
+pub mod host;
+pub mod log;
+mod run;
+mod shutdown;
+mod upstream;
+
+pub use config::Config;
+pub use run::{main_from_environment, serve};
--- /dev/null
+++ b/crates/node/src/log.rs
@@ -0,0 +1,101 @@
+//! Logging: lines of `key=value` to standard output, written by a task of their own.
+//!
+//! A reader that stalls fills a bounded queue; what does not fit is dropped and counted, and nobody waits.
+
+use crate::counters::Counters;
+use slog::{Drain, Key, OwnedKVList, Record, Serializer, KV};
+use std::fmt::{self, Write};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::{mpsc, Notify};
+
+/// Lines that may wait for the reader.
+const MOST_LINES: usize = 1024;
+
+/// Writes each record as one line into a queue.
+struct ToQueue {
+    lines: mpsc::Sender<String>,
+    dropped: Arc<AtomicU64>,
+}
+
+struct Line(String);
+
+impl Serializer for Line {
+    fn emit_arguments(&mut self, key: Key, value: &fmt::Arguments<'_>) -> slog::Result {
+        let text = value.to_string();
+        let plain = |byte: u8| byte.is_ascii_graphic() && byte != b'"' && byte != b'=';
+        if !text.is_empty() && text.bytes().all(plain) {
+            write!(self.0, " {key}={text}")?;
+        } else {
+            write!(self.0, " {key}={text:?}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Drain for ToQueue {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut line = Line(format!(
+            "t={}.{:03} level={} msg={:?}",
+            now.as_secs(),
+            now.subsec_millis(),
+            record.level().as_str().to_ascii_lowercase(),
+            record.msg().to_string()
+        ));
+        // A value that can't be written loses its place in the line, no more.
+        let _ = record.kv().serialize(record, &mut line);
+        let _ = values.serialize(record, &mut line);
+        line.0.push('\n');
+        if self.lines.try_send(line.0).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+}
+
+/// The writing end of the log.
+pub struct Writer {
+    lines: mpsc::Receiver<String>,
+    dropped: Arc<AtomicU64>,
+}
+
+/// A logger and what has to run so that its lines are written.
+pub fn logger(name: &str) -> (slog::Logger, Writer) {
+    let (sender, lines) = mpsc::channel(MOST_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let drain = ToQueue { lines: sender, dropped: dropped.clone() };
+    let log = slog::Logger::root(drain, slog::o!("node" => name.to_owned()));
+    (log, Writer { lines, dropped })
+}
+
+impl Writer {
+    /// Writes lines until `end` is rung and the queue is empty.
+    pub async fn run(mut self, counters: Rc<Counters>, end: Rc<Notify>) {
+        let mut output = tokio::io::stdout();
+        let mut lines = Vec::new();
+        loop {
+            tokio::select! {
+                biased;
+                count = self.lines.recv_many(&mut lines, 64) => if count == 0 { return },
+                () = end.notified() => return,
+            }
+            let text = lines.concat();
+            lines.clear();
+            counters.own.log_lines_dropped.more(self.dropped.swap(0, Ordering::Relaxed));
+            // Where nobody reads any more, lines are thrown away.
+            if output.write_all(text.as_bytes()).await.is_ok() {
+                let _ = output.flush().await;
+            }
+        }
+    }
+}
+
+/// How long the end of the program waits for the reader of the log.
+pub const LAST_LINES: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,303 @@
+//! Puts the parts together: the core loop around the host, and start and end of the program.
+
+use crate::clients::{listen, Front};
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::discovery::Discovery;
+use crate::host::{Ask, Host, NotTaken, Order, Reply};
+use crate::log::{logger, LAST_LINES};
+use crate::shutdown::{told_to_stop, Phase};
+use crate::upstream::{Conn, Pools};
+use pinetrestle::interface::{Id, Micros};
+use pinetrestle_protocol::link::Landed;
+use pinetrestle_protocol::registry::News;
+use slog::{error, info, Logger};
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::task::LocalSet;
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// Messages that may wait for the core; whoever has one more waits.
+const MOST_MESSAGES: usize = 1024;
+
+/// What the tasks tell the core.
+pub(crate) enum Message {
+    /// A client asks.
+    Query { token: u64, ask: Box<Ask>, reply: oneshot::Sender<Result<Reply, NotTaken>> },
+    /// A client has left.
+    Gone { token: u64 },
+    /// An index server has answered.
+    Landed(Landed),
+    /// A connection to an index server has ended.
+    ConnEnded(Rc<Conn>),
+    /// Discovery has told something.
+    News(News),
+    /// The watch has failed or was lost.
+    NewsFailed,
+    /// The front node stops: what is held has to end by then.
+    StopBy(Instant),
+}
+
+/// The loop that owns the host.
+struct Core {
+    host: Host,
+    pools: Pools,
+    start: Instant,
+    inbox: mpsc::Receiver<Message>,
+    ask_discovery: mpsc::Sender<()>,
+    /// Who waits for the answer to a query, by its id at the host.
+    waiting: HashMap<Id, (u64, oneshot::Sender<Result<Reply, NotTaken>>)>,
+    /// The host's ids by the clients' numbers.
+    ids: HashMap<u64, Id>,
+    ready: Rc<Cell<bool>>,
+    stopping: bool,
+    /// Where the list is pushed, a lost watch is asked for again then.
+    watch_at: Option<Instant>,
+    pushed: bool,
+    watch_again: Duration,
+    log: Logger,
+}
+
+impl Core {
+    fn now(&self) -> Micros {
+        Micros(self.start.elapsed().as_micros() as i64)
+    }
+
+    async fn run(mut self) {
+        let far = Duration::from_secs(3600);
+        loop {
+            let due = self.host.next_due().map(|at| self.start + Duration::from_micros(at.0.max(0) as u64));
+            let due = due.into_iter().chain(self.watch_at).min().unwrap_or_else(|| Instant::now() + far);
+            if !self.host.has_events() {
+                tokio::select! {
+                    message = self.inbox.recv() => match message {
+                        Some(message) => self.take(message),
+                        None => return,
+                    },
+                    () = sleep_until(due) => {}
+                }
+            }
+            while let Ok(message) = self.inbox.try_recv() {
+                self.take(message);
+            }
+            if self.watch_at.is_some_and(|at| at <= Instant::now()) {
+                self.watch_at = None;
+                self.watch();
+            }
+            let now = self.now();
+            for order in self.host.turn(now) {
+                self.carry_out(order);
+            }
+            self.ready.set(!self.stopping && self.host.can_serve());
+            // Each task gets its turn, even while the module is told one thing after the other.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Query { token, ask, reply } => match self.host.take(now, *ask) {
+                Ok(id) => {
+                    self.waiting.insert(id, (token, reply));
+                    self.ids.insert(token, id);
+                }
+                Err(why) => {
+                    // A client that left meanwhile needs no answer.
+                    let _ = reply.send(Err(why));
+                }
+            },
+            Message::Gone { token } => {
+                if let Some(id) = self.ids.remove(&token) {
+                    self.waiting.remove(&id);
+                    self.host.gone(id);
+                }
+            }
+            Message::Landed(landed) => {
+                self.pools.landed(landed.ticket);
+                self.host.landed(now, landed);
+            }
+            Message::ConnEnded(conn) => {
+                for (ticket, written) in self.pools.ended(&conn) {
+                    self.host.lost(now, ticket, written);
+                }
+            }
+            Message::News(news) => self.host.news(&news, false),
+            Message::NewsFailed => {
+                self.host.news_failed();
+                self.watch_at = self.pushed.then(|| Instant::now() + self.watch_again);
+            }
+            Message::StopBy(at) => {
+                self.stopping = true;
+                self.host.stop_by(Micros(at.duration_since(self.start).as_micros() as i64));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, order: Order) {
+        match order {
+            Order::Send { replica, parts } => {
+                let stayed = match self.host.peer(replica) {
+                    Some(peer) => self.pools.send(replica, peer, parts),
+                    None => parts.iter().map(|part| part.ticket).collect(),
+                };
+                let now = self.now();
+                for ticket in stayed {
+                    self.host.lost(now, ticket, false);
+                }
+            }
+            Order::GiveUp(ticket) => self.pools.give_up(ticket),
+            Order::Reply(id, reply) => {
+                if let Some((token, waiting)) = self.waiting.remove(&id) {
+                    self.ids.remove(&token);
+                    // A client that left meanwhile needs no answer.
+                    let _ = waiting.send(Ok(reply));
+                }
+            }
+            Order::Watch => self.watch(),
+            Order::Remark(text) => info!(self.log, "module"; "says" => text),
+        }
+    }
+
+    fn watch(&self) {
+        // The queue holds one call: a second one that waits would ask for the same.
+        let _ = self.ask_discovery.try_send(());
+    }
+}
+
+/// Serves until `stop` ends, then hands over, finishes what was taken, and returns.
+///
+/// Has to run within a [`LocalSet`] on a runtime with all drivers enabled.
+pub async fn serve(
+    config: Config,
+    log: Logger,
+    counters: Rc<Counters>,
+    stop: impl Future<Output = ()>,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(config.listen).await?;
+    let (start, wall) = (Instant::now(), SystemTime::now());
+    let epoch = wall.duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64;
+    let (to_core, inbox) = mpsc::channel(MOST_MESSAGES);
+    let (ask_discovery, asked) = mpsc::channel(1);
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let transport = Rc::new(config.transport.clone());
+    let ready = Rc::new(Cell::new(false));
+    let pushed = !config.deployment.settings.must_ask;
+
+    let deployment = Rc::new(config.deployment.clone());
+    let mut host = Host::new(deployment, counters.clone(), config.seed, epoch, Micros(0));
+    host.news(&config.known, true);
+    let discovery = Discovery {
+        address: config.discovery,
+        index: config.known.index,
+        transport: transport.clone(),
+        counters: counters.clone(),
+        to_core: to_core.clone(),
+        log: log.clone(),
+    };
+    tokio::task::spawn_local(discovery.run(asked));
+    let core = Core {
+        host,
+        pools: Pools::new(transport.clone(), counters.clone(), log.clone(), to_core.clone()),
+        start,
+        inbox,
+        ask_discovery,
+        waiting: HashMap::new(),
+        ids: HashMap::new(),
+        ready: ready.clone(),
+        stopping: false,
+        watch_at: pushed.then_some(start),
+        pushed,
+        watch_again: transport.watch_again,
+        log: log.clone(),
+    };
+    tokio::task::spawn_local(core.run());
+    let front = Rc::new(Front {
+        config: Rc::new(config),
+        counters: counters.clone(),
+        to_core: to_core.clone(),
+        log: log.clone(),
+        ready,
+        crowded: Notify::new(),
+        ended: Notify::new(),
+        tokens: Cell::new(0),
+    });
+    let listening = tokio::task::spawn_local(listen(front.clone(), listener, phases));
+    info!(log, "serving"; "listen" => %front.config.listen, "discovery" => %front.config.discovery,
+        "clients" => transport.client_connections, "servers" => transport.server_connections);
+
+    stop.await;
+    let told = Instant::now();
+    let stop_by = told + transport.stop_within;
+    info!(log, "stopping"; "open" => counters.connections.clients_open.get());
+    // Whoever listens to these is gone only if it has broken down; then there is nothing to hand over.
+    let _ = to_core.send(Message::StopBy(stop_by)).await;
+    let _ = phase.send(Phase::HandingOver);
+    sleep_until(told + transport.hand_over).await;
+    let _ = phase.send(Phase::Closing);
+    let _ = timeout(stop_by.duration_since(Instant::now()), listening).await;
+    let last = stop_by + Duration::from_millis(100);
+    while counters.connections.clients_open.get() > 0 && Instant::now() < last {
+        // One connection at a time; the bound is for clients that do not take their answers.
+        let _ = timeout(last.duration_since(Instant::now()), front.ended.notified()).await;
+    }
+    Ok(())
+}
+
+/// The whole program: configuration from the environment, log on standard output, SIGTERM to stop.
+pub fn main_from_environment() -> ExitCode {
+    let config = match Config::from_environment() {
+        Ok(config) => config,
+        Err(fault) => {
+            eprintln!("pinetrestle-node: configuration: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().max_blocking_threads(1).build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("pinetrestle-node: no runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let local = LocalSet::new();
+    let code = local.block_on(&runtime, run(config));
+    // A reader of the log that has stalled must not hold up the end.
+    runtime.shutdown_background();
+    code
+}
+
+async fn run(config: Config) -> ExitCode {
+    let counters = Rc::new(Counters::new(&config.deployment.classes));
+    let (log, writer) = logger(&config.name);
+    let listen = config.listen;
+    let end_of_log = Rc::new(Notify::new());
+    let writing = tokio::task::spawn_local(writer.run(counters.clone(), end_of_log.clone()));
+    let stop = async {
+        // Without signals the front node serves until it is killed.
+        if told_to_stop().await.is_err() {
+            std::future::pending().await
+        }
+    };
+    let code = match serve(config, log.clone(), counters.clone(), stop).await {
+        Ok(()) => {
+            info!(log, "counters"; "at" => "exit", "all" => counters.report().to_string());
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            error!(log, "can't listen"; "listen" => %listen, "error" => %error);
+            ExitCode::FAILURE
+        }
+    };
+    end_of_log.notify_one();
+    // A reader that has stalled gets no more than this.
+    let _ = timeout(LAST_LINES, writing).await;
+    code
+}
--- /dev/null
+++ b/crates/node/src/upstream.rs
@@ -0,0 +1,287 @@
+//! Connections to index servers: which one carries a call, and the task that drives each.
+
+use crate::config::Transport;
+use crate::counters::Counters;
+use crate::host::Peer;
+use crate::run::Message;
+use pinetrestle::interface::ReplicaId;
+use pinetrestle_protocol::link::{Link, Sending, Ticket};
+use slog::{info, Logger};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::{ErrorKind, IoSlice};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, Notify};
+use tokio::time::{timeout, Instant};
+
+/// Frames of one gathered write.
+const MOST_SLICES: usize = 64;
+/// Bytes of one read.
+const READ: usize = 16 * 1024;
+
+/// One connection, shared by the pool that fills it and the task that drives it.
+pub struct Conn {
+    number: u64,
+    replica: ReplicaId,
+    peer: Peer,
+    link: RefCell<Link>,
+    /// Rung when there is something to write.
+    bell: Notify,
+    /// It takes no more calls: it has ended, or its index server is another by now.
+    shut: Cell<bool>,
+    calls: Cell<u64>,
+    parts: Cell<u64>,
+}
+
+/// The connections of all replicas.
+pub struct Pools {
+    transport: Rc<Transport>,
+    counters: Rc<Counters>,
+    log: Logger,
+    to_core: mpsc::Sender<Message>,
+    by_replica: HashMap<ReplicaId, Vec<Rc<Conn>>>,
+    carriers: HashMap<Ticket, Rc<Conn>>,
+    next: u64,
+}
+
+impl Pools {
+    /// No connections yet.
+    pub fn new(
+        transport: Rc<Transport>,
+        counters: Rc<Counters>,
+        log: Logger,
+        to_core: mpsc::Sender<Message>,
+    ) -> Pools {
+        let (by_replica, carriers) = (HashMap::new(), HashMap::new());
+        Pools { transport, counters, log, to_core, by_replica, carriers, next: 0 }
+    }
+
+    /// Sends a call and returns the attempts that found no connection.
+    pub fn send(&mut self, replica: ReplicaId, peer: &Peer, parts: Vec<Sending>) -> Vec<Ticket> {
+        let Some(conn) = self.conn(replica, peer, &parts) else {
+            self.counters.connections.servers_none_left.one();
+            return parts.iter().map(|part| part.ticket).collect();
+        };
+        self.counters.connections.calls.one();
+        conn.calls.set(conn.calls.get() + 1);
+        conn.parts.set(conn.parts.get() + parts.len() as u64);
+        for part in &parts {
+            self.carriers.insert(part.ticket, conn.clone());
+        }
+        let stayed = conn.link.borrow_mut().call(parts);
+        conn.bell.notify_one();
+        for ticket in &stayed {
+            self.carriers.remove(ticket);
+        }
+        stayed
+    }
+
+    /// A connection with room for the parts, opened if none has it.
+    fn conn(&mut self, replica: ReplicaId, peer: &Peer, parts: &[Sending]) -> Option<Rc<Conn>> {
+        let pool = self.by_replica.entry(replica).or_default();
+        for conn in pool.iter().filter(|conn| conn.peer != *peer && !conn.shut.get()) {
+            // The index server has moved or started anew: what is out here may still end, nothing is added.
+            conn.shut.set(true);
+            conn.bell.notify_one();
+        }
+        let (most, backlog) = (self.transport.streams, self.transport.server_backlog);
+        let fits = |conn: &&Rc<Conn>| {
+            let link = conn.link.borrow();
+            let room = link.open() == 0 || link.open() + parts.len() <= most;
+            !conn.shut.get()
+                && room
+                && link.waiting() < backlog
+                && parts.iter().all(|part| link.is_free(&part.id))
+        };
+        if let Some(conn) = pool.iter().find(fits) {
+            return Some(conn.clone());
+        }
+        let address: std::net::SocketAddr = peer.address.parse().ok()?;
+        if self.counters.connections.servers_open.get() >= self.transport.server_connections as u64 {
+            return None;
+        }
+        self.next += 1;
+        let conn = Rc::new(Conn {
+            number: self.next,
+            replica,
+            peer: peer.clone(),
+            link: RefCell::default(),
+            bell: Notify::new(),
+            shut: Cell::new(false),
+            calls: Cell::new(0),
+            parts: Cell::new(0),
+        });
+        pool.push(conn.clone());
+        self.counters.connections.servers_begun.one();
+        self.counters.connections.servers_open.one();
+        let driver = Driver {
+            conn: conn.clone(),
+            transport: self.transport.clone(),
+            counters: self.counters.clone(),
+            to_core: self.to_core.clone(),
+            log: self.log.clone(),
+        };
+        tokio::task::spawn_local(driver.run(address));
+        Some(conn)
+    }
+
+    /// An attempt is given up.
+    pub fn give_up(&mut self, ticket: Ticket) {
+        if let Some(conn) = self.carriers.remove(&ticket) {
+            conn.link.borrow_mut().give_up(ticket);
+            conn.bell.notify_one();
+        }
+    }
+
+    /// An attempt was answered.
+    pub fn landed(&mut self, ticket: Ticket) {
+        self.carriers.remove(&ticket);
+    }
+
+    /// A connection has ended: the attempts that were out on it, and whether each was written whole.
+    pub fn ended(&mut self, conn: &Rc<Conn>) -> Vec<(Ticket, bool)> {
+        if let Some(pool) = self.by_replica.get_mut(&conn.replica) {
+            pool.retain(|other| other.number != conn.number);
+        }
+        let lost = conn.link.take().lost();
+        for (ticket, _) in &lost {
+            self.carriers.remove(ticket);
+        }
+        lost
+    }
+}
+
+/// Drives one connection: reads and writes, nothing else.
+struct Driver {
+    conn: Rc<Conn>,
+    transport: Rc<Transport>,
+    counters: Rc<Counters>,
+    to_core: mpsc::Sender<Message>,
+    log: Logger,
+}
+
+impl Driver {
+    async fn run(self, address: std::net::SocketAddr) {
+        let begun = Instant::now();
+        let (mut bytes_in, mut bytes_out) = (0, 0);
+        let reason = match timeout(self.transport.connect, TcpStream::connect(address)).await {
+            Err(_) => "connect_timeout",
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => "connect_refused",
+            Ok(Err(_)) => "connect_failed",
+            Ok(Ok(stream)) => self.serve(&stream, &mut bytes_in, &mut bytes_out).await,
+        };
+        self.conn.shut.set(true);
+        let counts = &self.counters.connections;
+        counts.servers_open.less();
+        counts.servers_failed.more(u64::from(reason.starts_with("connect_")));
+        let late = self.conn.link.borrow().late;
+        self.counters.attempts.late_answers.more(late);
+        let out = self.conn.link.borrow().open();
+        info!(self.log, "connection ended"; "side" => "index_server", "peer" => %address,
+            "name" => &self.conn.peer.name, "age_ms" => begun.elapsed().as_millis() as u64,
+            "calls" => self.conn.calls.get(), "parts" => self.conn.parts.get(), "lost" => out, "late" => late,
+            "in" => bytes_in, "out" => bytes_out, "reason" => reason);
+        // The receiver is there as long as the program serves.
+        let _ = self.to_core.send(Message::ConnEnded(self.conn.clone())).await;
+    }
+
+    /// Reads and writes until the connection ends; says why it did.
+    async fn serve(&self, stream: &TcpStream, bytes_in: &mut u64, bytes_out: &mut u64) -> &'static str {
+        // Without it frames would wait for acknowledgements; the connection works all the same.
+        let _ = stream.set_nodelay(true);
+        let link = &self.conn.link;
+        let mut buffer = vec![0; READ];
+        let mut last = Instant::now();
+        loop {
+            if let Err(error) = self.write(stream, bytes_out, &mut last) {
+                return broken(&error);
+            }
+            let idle = link.borrow().open() == 0 && link.borrow().waiting() == 0;
+            if idle && self.conn.shut.get() {
+                return "replaced";
+            }
+            let wants = if link.borrow().waiting() > 0 {
+                Interest::READABLE | Interest::WRITABLE
+            } else {
+                Interest::READABLE
+            };
+            let rest = self.transport.server_idle.saturating_sub(last.elapsed());
+            tokio::select! {
+                ready = stream.ready(wants) => {
+                    if let Err(error) = ready {
+                        return broken(&error);
+                    }
+                }
+                () = self.conn.bell.notified() => continue,
+                () = tokio::time::sleep(rest.max(Duration::from_millis(1))), if idle => {
+                    let still = link.borrow().open() == 0 && link.borrow().waiting() == 0;
+                    if still && last.elapsed() >= self.transport.server_idle {
+                        self.conn.shut.set(true); // before anything else runs: no call slips in
+                        return "idle";
+                    }
+                    continue;
+                }
+            }
+            match stream.try_read(&mut buffer) {
+                Ok(0) => {
+                    let inside = link.borrow().within_frame();
+                    return if inside { "ended_within_frame" } else { "ended_by_peer" };
+                }
+                Ok(count) => {
+                    *bytes_in += count as u64;
+                    self.counters.connections.server_bytes_in.more(count as u64);
+                    last = Instant::now();
+                    link.borrow_mut().feed(&buffer[..count]);
+                    loop {
+                        let landed = link.borrow_mut().next_landed();
+                        match landed {
+                            Ok(Some(landed)) => {
+                                // The receiver is there as long as the program serves.
+                                let _ = self.to_core.send(Message::Landed(landed)).await;
+                            }
+                            Ok(None) => break,
+                            Err(error) => return error.code(),
+                        }
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return broken(&error),
+            }
+        }
+    }
+
+    fn write(&self, stream: &TcpStream, bytes_out: &mut u64, last: &mut Instant) -> std::io::Result<()> {
+        loop {
+            let wrote = {
+                let link = self.conn.link.borrow();
+                if link.waiting() == 0 {
+                    return Ok(());
+                }
+                let mut slices: Vec<IoSlice<'_>> = Vec::new();
+                link.gather(&mut slices, MOST_SLICES);
+                stream.try_write_vectored(&slices)
+            };
+            match wrote {
+                Ok(count) => {
+                    self.conn.link.borrow_mut().wrote(count);
+                    *bytes_out += count as u64;
+                    self.counters.connections.server_bytes_out.more(count as u64);
+                    *last = Instant::now();
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+    }
+}
+
+fn broken(error: &std::io::Error) -> &'static str {
+    match error.kind() {
+        ErrorKind::ConnectionReset => "reset",
+        ErrorKind::BrokenPipe | ErrorKind::ConnectionAborted => "broken",
+        _ => "io_error",
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/frames.rs
@@ -0,0 +1,203 @@
+//! Frames between front nodes and index servers.
+
+use std::fmt;
+
+/// Most bytes of a frame after its length.
+pub const MOST_FRAME: usize = 256 * 1024;
+
+/// Why bytes are no frame of an index server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadFrame {
+    /// The length is nothing or too much.
+    Length,
+    /// A letter that index servers do not send.
+    Letter,
+    /// The line is malformed.
+    Line,
+    /// The value is not text.
+    Value,
+    /// A part that was never asked for on this connection.
+    Unknown,
+    /// The index server could not use what it was sent.
+    Rejected,
+}
+
+impl BadFrame {
+    /// A short stable name.
+    pub fn code(self) -> &'static str {
+        match self {
+            BadFrame::Length => "bad_frame_length",
+            BadFrame::Letter => "bad_frame_letter",
+            BadFrame::Line => "bad_frame_line",
+            BadFrame::Value => "bad_frame_value",
+            BadFrame::Unknown => "unknown_part",
+            BadFrame::Rejected => "frame_rejected",
+        }
+    }
+}
+
+impl fmt::Display for BadFrame {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str(self.code())
+    }
+}
+
+impl std::error::Error for BadFrame {}
+
+/// How an index server ended a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served.
+    Served,
+    /// An error.
+    Error,
+    /// Turned away: it has not run.
+    TurnedAway,
+}
+
+/// The score of an answer; those of the whole range of 64 bits compare exactly.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Score(pub i128, pub f64);
+
+impl Score {
+    fn parse(word: &str) -> Option<Score> {
+        if word == "-" {
+            return Some(Score::default());
+        }
+        if let Ok(whole) = word.parse::<i128>() {
+            return Some(Score(whole, 0.0));
+        }
+        let value = word.parse::<f64>().ok().filter(|value| value.is_finite() && value.abs() < 1e30)?;
+        Some(Score(value.floor() as i128, value - value.floor()))
+    }
+}
+
+/// What an index server says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Frame {
+    /// A part has ended.
+    Ended {
+        /// The part.
+        id: String,
+        /// How.
+        end: End,
+        /// Its score.
+        score: Score,
+        /// The value, as text.
+        value: String,
+    },
+    /// A frame before could not be used, in some words.
+    Rejected(String),
+}
+
+/// One part of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallPart<'a> {
+    /// The part's id.
+    pub id: &'a str,
+    /// Its shard.
+    pub shard: u32,
+    /// The list: how long the front node will wait, and what a second step adds.
+    pub list: &'a str,
+    /// The query's text.
+    pub text: &'a str,
+}
+
+fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(rest.len() + 5);
+    bytes.extend_from_slice(&(rest.len() as u32 + 1).to_be_bytes());
+    bytes.push(letter);
+    bytes.extend_from_slice(rest);
+    bytes
+}
+
+/// The frame of one call.
+pub fn call<'a>(parts: impl Iterator<Item = CallPart<'a>>) -> Vec<u8> {
+    let mut rest = Vec::new();
+    for part in parts {
+        let line = format!("{} {} {} {}\n", part.id, part.shard, part.list, part.text.len());
+        rest.extend_from_slice(line.as_bytes());
+        rest.extend_from_slice(part.text.as_bytes());
+    }
+    frame(b'1', &rest)
+}
+
+/// The frame that gives a part up.
+pub fn give_up(id: &str) -> Vec<u8> {
+    frame(b'2', id.as_bytes())
+}
+
+/// What a second step adds to a list.
+pub fn second_step_list(from: &[u32], whole: bool) -> String {
+    let from: Vec<String> = from.iter().map(u32::to_string).collect();
+    format!(",from={},whole={}", from.join("+"), u8::from(whole))
+}
+
+/// The id of a part.
+pub fn part_id(query: &str, shard: u32, second_step: bool) -> String {
+    format!("{query}.{shard}{}", if second_step { ".phase2" } else { "" })
+}
+
+/// The frames of an index server, out of bytes.
+#[derive(Debug, Default)]
+pub struct Frames {
+    buffer: Vec<u8>,
+}
+
+impl Frames {
+    /// Takes bytes as they come.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Whether a frame has begun and not ended.
+    pub fn within(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// The next frame, if it is there. After an error the connection is of no more use.
+    pub fn next_frame(&mut self) -> Result<Option<Frame>, BadFrame> {
+        let Some(length) = self.buffer.first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*length) as usize;
+        if length == 0 || length > MOST_FRAME {
+            return Err(BadFrame::Length);
+        }
+        if self.buffer.len() < 4 + length {
+            return Ok(None);
+        }
+        let found = Frames::read(&self.buffer[4..4 + length]);
+        self.buffer.drain(..4 + length);
+        if self.buffer.is_empty() {
+            self.buffer.shrink_to(16 * 1024);
+        }
+        found.map(Some)
+    }
+
+    fn read(frame: &[u8]) -> Result<Frame, BadFrame> {
+        let rest = &frame[1..];
+        match frame[0] {
+            b'5' => {
+                let at = rest.iter().position(|byte| *byte == b'\n').ok_or(BadFrame::Line)?;
+                let line = std::str::from_utf8(&rest[..at]).map_err(|_| BadFrame::Line)?;
+                // The report is the rest of the line; none is asked for here, so it is passed over.
+                let mut words = line.splitn(4, ' ');
+                let (Some(id), Some(end), Some(score), Some(_report)) =
+                    (words.next(), words.next(), words.next(), words.next())
+                else {
+                    return Err(BadFrame::Line);
+                };
+                let end = match end {
+                    "S" => End::Served,
+                    "E" => End::Error,
+                    "B" => End::TurnedAway,
+                    _ => return Err(BadFrame::Line),
+                };
+                let score = Score::parse(score).ok_or(BadFrame::Line)?;
+                let value = std::str::from_utf8(&rest[at + 1..]).map_err(|_| BadFrame::Value)?;
+                Ok(Frame::Ended { id: id.to_owned(), end, score, value: value.to_owned() })
+            }
+            b'X' => Ok(Frame::Rejected(String::from_utf8_lossy(rest).into_owned())),
+            _ => Err(BadFrame::Letter),
+        }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,20 @@
+//! The service's protocol without its sockets: every machine here is fed bytes and hands out what they say.
+//!
+//! However the bytes are split, the result is the same; what does not follow the protocol is a typed error.
+//! Words and names of the protocol stand in this crate only.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod chunks;
+pub mod frames;
+pub mod head;
+pub mod link;
+pub mod query;
+pub mod registry;
+pub mod requests;
+pub mod watch;
+
+/// Most bytes of one HTTP body.
+pub const MOST_BODY: usize = 64 * 1024;
+/// Most bytes of one HTTP head.
+pub const MOST_HEAD: usize = 16 * 1024;
--- /dev/null
+++ b/crates/protocol/src/query.rs
@@ -0,0 +1,172 @@
+//! Bodies of queries and of their answers.
+
+use serde_json::Value;
+use std::fmt;
+use std::fmt::Write;
+
+/// Most bytes of a query's id.
+const MOST_ID: usize = 64;
+/// Longest time that a client can wait, in milliseconds: an hour.
+const MOST_EXPIRY: u64 = 3_600_000;
+
+/// Names of the header fields that a query carries.
+pub mod fields {
+    /// The query's id.
+    pub const ID: &str = "X-Trace-Id";
+    /// Its class.
+    pub const CLASS: &str = "X-Qos";
+    /// Its tenant.
+    pub const TENANT: &str = "X-Customer";
+    /// How long the client will wait.
+    pub const EXPIRES: &str = "X-Expires-In-Ms";
+    /// A client's repeat.
+    pub const REPEAT: &str = "X-Second-Try";
+}
+
+/// Why a query can't be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadQuery {
+    /// The id is missing or can't stand in a frame.
+    Id,
+    /// The time to wait is missing or absurd.
+    Expiry,
+    /// The body is not JSON.
+    Json,
+    /// The body has no list of parts, or an empty one.
+    Parts,
+    /// A part is malformed.
+    Part,
+    /// A part names a shard that the layout lacks.
+    Shard,
+    /// A shard stands there twice.
+    Twice,
+    /// The text for the parts is no text.
+    Text,
+}
+
+impl BadQuery {
+    /// A short stable name.
+    pub fn code(self) -> &'static str {
+        match self {
+            BadQuery::Id => "bad_id",
+            BadQuery::Expiry => "bad_expiry",
+            BadQuery::Json => "bad_json",
+            BadQuery::Parts => "bad_parts",
+            BadQuery::Part => "bad_part",
+            BadQuery::Shard => "bad_shard",
+            BadQuery::Twice => "shard_twice",
+            BadQuery::Text => "bad_text",
+        }
+    }
+}
+
+impl fmt::Display for BadQuery {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str(self.code())
+    }
+}
+
+impl std::error::Error for BadQuery {}
+
+/// One part as the client asks for it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PartAsked {
+    /// Its shard.
+    pub shard: u32,
+    /// Its share of the whole answer.
+    pub weight: f64,
+    /// Rough work, in microseconds, where stated.
+    pub work: Option<i64>,
+}
+
+/// The body of a query.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueryBody {
+    /// Its parts.
+    pub parts: Vec<PartAsked>,
+    /// What each part carries to the index server.
+    pub text: String,
+}
+
+/// Checks the id: it becomes a word of frames, so it has to be one.
+pub fn query_id(value: Option<&str>) -> Result<&str, BadQuery> {
+    let fits = |id: &&str| !id.is_empty() && id.len() <= MOST_ID && id.bytes().all(|b| b.is_ascii_graphic());
+    value.filter(fits).ok_or(BadQuery::Id)
+}
+
+/// Reads the time that the client will wait, in microseconds.
+pub fn expiry(value: Option<&str>) -> Result<i64, BadQuery> {
+    let digits = value.filter(|text| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit()));
+    let wait = digits.and_then(|text| text.parse::<u64>().ok()).filter(|wait| *wait <= MOST_EXPIRY);
+    wait.map(|wait| wait as i64 * 1000).ok_or(BadQuery::Expiry)
+}
+
+fn part(value: &Value, shards: u32) -> Result<PartAsked, BadQuery> {
+    let shard = value.get("slice").and_then(Value::as_u64).ok_or(BadQuery::Part)?;
+    let shard = u32::try_from(shard).ok().filter(|shard| *shard < shards).ok_or(BadQuery::Shard)?;
+    let weight = value.get("mass").and_then(Value::as_f64).filter(|weight| (0.0..=1.0).contains(weight));
+    let work = match value.get("micros") {
+        None | Some(Value::Null) => None,
+        Some(work) => {
+            Some(work.as_f64().filter(|work| (0.0..1e12).contains(work)).ok_or(BadQuery::Part)? as i64)
+        }
+    };
+    Ok(PartAsked { shard, weight: weight.ok_or(BadQuery::Part)?, work })
+}
+
+/// Reads a query's body in a layout of so many shards.
+pub fn parse(body: &[u8], shards: u32) -> Result<QueryBody, BadQuery> {
+    let body: Value = serde_json::from_slice(body).map_err(|_| BadQuery::Json)?;
+    let listed = body.get("slices").and_then(Value::as_array).ok_or(BadQuery::Parts)?;
+    if listed.is_empty() {
+        return Err(BadQuery::Parts);
+    }
+    let parts = listed.iter().map(|value| part(value, shards)).collect::<Result<Vec<_>, _>>()?;
+    let mut named: Vec<u32> = parts.iter().map(|part| part.shard).collect();
+    named.sort_unstable();
+    if named.windows(2).any(|two| two[0] == two[1]) {
+        return Err(BadQuery::Twice);
+    }
+    let text = match body.get("filter") {
+        None => String::new(),
+        Some(text) => text.as_str().ok_or(BadQuery::Text)?.to_owned(),
+    };
+    Ok(QueryBody { parts, text })
+}
+
+fn quote(text: &str, into: &mut String) {
+    into.push('"');
+    for letter in text.chars() {
+        match letter {
+            '"' => into.push_str("\\\""),
+            '\\' => into.push_str("\\\\"),
+            control if (control as u32) < 0x20 => {
+                // Writing to a String does not fail.
+                let _ = write!(into, "\\u{:04x}", control as u32);
+            }
+            other => into.push(other),
+        }
+    }
+    into.push('"');
+}
+
+/// The body of an answer: the value of each part that is in.
+pub fn answer_body<'a>(whole: bool, values: impl Iterator<Item = (u32, &'a str)>) -> Vec<u8> {
+    let mut body = format!("{{\"entire\":{whole},\"items\":[");
+    for (place, (shard, value)) in values.enumerate() {
+        let comma = if place > 0 { "," } else { "" };
+        let _ = write!(body, "{comma}{{\"slice\":{shard},\"body\":");
+        quote(value, &mut body);
+        body.push('}');
+    }
+    body.push_str("]}");
+    body.into_bytes()
+}
+
+/// The body of an answer that is none: the reason's name.
+pub fn reason_body(code: &str) -> Vec<u8> {
+    let mut body = String::from("{\"reason\":");
+    quote(code, &mut body);
+    body.push('}');
+    body.into_bytes()
+}
