Type the reasons of connection ends, tie them to the on-call page, and tighten bounds

Reason codes are one enum; a test fails if one is not explained on the on-call page. Ids given up are kept as hashes (4,096 texts on each of 333 connections would have been 100 MB), a body's buffer is reserved to its length, 64 KiB may wait on a connection to an index server. At a stop the listener closes after 50 ms without a newcomer, and a connection that has just come gets a moment for its first request: an empty accept alone does not show that the kernel holds none.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::host::{Ask, NotTaken, Reply};
+use crate::reasons::Reason;
 use crate::run::Message;
 use crate::shutdown::{reached, Phase, Phases};
 use pinetrestle::interface::Micros;
@@ -24,6 +25,9 @@
 /// How long accepting rests after it has failed, as it does when descriptors run out.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
 
+/// The listener closes once no connection has waited for this long: what the kernel holds is taken first.
+const LAST_ACCEPT: Duration = Duration::from_millis(50);
+
 /// What all connections of clients share.
 pub struct Front {
     /// Configuration.
@@ -60,7 +64,7 @@
         }
         let accepted = if begun_closing {
             // Whatever waits in the kernel's queue has been accepted by this machine: it is served.
-            match timeout(Duration::ZERO, listener.accept()).await {
+            match timeout(LAST_ACCEPT, listener.accept()).await {
                 Ok(accepted) => accepted,
                 Err(_) => return,
             }
@@ -122,7 +126,7 @@
 }
 
 /// Why a connection goes no further.
-type Over = &'static str;
+type Over = Reason;
 
 impl Client {
     async fn run(front: Rc<Front>, stream: TcpStream, peer: SocketAddr, phases: Phases) {
@@ -152,7 +156,7 @@
         front.ended.notify_one();
         info!(front.log, "connection ended"; "side" => "client", "peer" => %peer,
             "age_ms" => begun.elapsed().as_millis() as u64, "requests" => client.served,
-            "in" => client.bytes_in, "out" => client.bytes_out, "reason" => reason);
+            "in" => client.bytes_in, "out" => client.bytes_out, "reason" => %reason);
     }
 
     /// One request and its answer.
@@ -160,7 +164,7 @@
         let arrived = self.read_request().await?;
         self.served += 1;
         self.front.counters.connections.requests.one();
-        let Some(request) = self.requests.request() else { return Err("io_error") };
+        let Some(request) = self.requests.request() else { return Err(Reason::IoError) };
         let keeps = request.keeps_alive();
         let asked = self.front.read(&request, arrived);
         let answer = match asked {
@@ -171,10 +175,10 @@
         let closing = *self.phases.borrow() >= Phase::Closing;
         self.write(answer, !keeps || closing).await?;
         if !keeps {
-            return Err("closed_as_asked");
+            return Err(Reason::ClosedAsAsked);
         }
         if closing {
-            Err("shutdown")
+            Err(Reason::Shutdown)
         } else {
             Ok(())
         }
@@ -195,28 +199,34 @@
                         Ok(result) => result?,
                         Err(_) => {
                             self.write(Answer::reason(408, "request_timeout"), true).await?;
-                            return Err("request_timeout");
+                            return Err(Reason::RequestTimeout);
                         }
                     };
                 }
                 Ok(Progress::Between) => {
                     let front = self.front.clone();
                     let mut phases = self.phases.clone();
+                    // A connection that has just come may have its first request on the way.
+                    let first = if self.served == 0 { transport.linger } else { Duration::ZERO };
+                    let closing = async {
+                        reached(&mut phases, Phase::Closing).await;
+                        tokio::time::sleep_until(rests_since + first).await;
+                    };
                     tokio::select! {
                         biased;
                         result = self.read() => {
                             result?;
                             arrived = Some(Instant::now());
                         }
-                        () = reached(&mut phases, Phase::Closing) => return Err("shutdown_between"),
-                        () = front.crowded.notified() => return Err("made_room"),
-                        () = tokio::time::sleep_until(rests_since + transport.client_idle) => return Err("idle"),
+                        () = closing => return Err(Reason::ShutdownBetween),
+                        () = front.crowded.notified() => return Err(Reason::MadeRoom),
+                        () = tokio::time::sleep_until(rests_since + transport.client_idle) => return Err(Reason::Idle),
                     }
                 }
                 Err(error) => {
                     self.front.counters.connections.bad_requests.one();
                     self.write(Answer::reason(error.status(), error.code()), true).await?;
-                    return Err(error.code());
+                    return Err(error.into());
                 }
             }
         }
@@ -226,12 +236,16 @@
     async fn read(&mut self) -> Result<(), Over> {
         loop {
             if self.stream.readable().await.is_err() {
-                return Err("io_error");
+                return Err(Reason::IoError);
             }
             let mut scratch = self.front.scratch.borrow_mut();
             match self.stream.try_read(&mut scratch) {
                 Ok(0) => {
-                    return Err(if self.requests.is_empty() { "client_closed" } else { "client_gone" });
+                    return Err(if self.requests.is_empty() {
+                        Reason::ClientClosed
+                    } else {
+                        Reason::ClientGone
+                    });
                 }
                 Ok(count) => {
                     self.bytes_in += count as u64;
@@ -240,7 +254,7 @@
                     return Ok(());
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => return Err("reset"),
+                Err(_) => return Err(Reason::Reset),
             }
         }
     }
@@ -260,7 +274,7 @@
                 read = self.read(), if self.requests.wants() => {
                     if read.is_err() {
                         let _ = front.to_core.send(Message::Gone { token }).await;
-                        return Err("client_gone");
+                        return Err(Reason::ClientGone);
                     }
                 }
             }
@@ -285,11 +299,11 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     match timeout_at(until, self.stream.ready(Interest::WRITABLE)).await {
                         Ok(Ok(_)) => {}
-                        Ok(Err(_)) => return Err("write_failed"),
-                        Err(_) => return Err("write_stalled"),
+                        Ok(Err(_)) => return Err(Reason::WriteFailed),
+                        Err(_) => return Err(Reason::WriteStalled),
                     }
                 }
-                Err(_) => return Err("write_failed"),
+                Err(_) => return Err(Reason::WriteFailed),
             }
         }
         self.says_farewell = close;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -142,7 +142,7 @@
         connect: ms("connect_ms", stated.connect_timeout.map_or(250, millis))?,
         server_idle: ms("server_idle_ms", idle.max(1))?,
         streams: set("streams", stated.streams_per_conn.map_or(32, u64::from))? as usize,
-        server_backlog: set("server_backlog_bytes", 256 * 1024)? as usize,
+        server_backlog: set("server_backlog_bytes", 64 * 1024)? as usize,
         server_connections: servers,
         client_connections: clients,
         discovery_answer: ms("discovery_answer_ms", 3_000)?,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Transport;
 use crate::counters::Counters;
+use crate::reasons::Reason;
 use crate::run::Message;
 use pinetrestle_protocol::registry::{watch_request, News};
 use pinetrestle_protocol::watch::{Said, Watch};
@@ -47,13 +48,13 @@
                 reason = self.watch(&mut seen) => reason,
                 next = asked.recv() => {
                     again = next.is_some();
-                    "asked_anew"
+                    Reason::AskedAnew
                 }
             };
             info!(self.log, "connection ended"; "side" => "discovery", "peer" => %self.address,
                 "age_ms" => begun.elapsed().as_millis() as u64, "lines" => seen.lines, "in" => seen.bytes_in,
-                "index" => self.index, "reason" => reason);
-            if reason != "asked_anew" {
+                "index" => self.index, "reason" => %reason);
+            if reason != Reason::AskedAnew {
                 self.counters.discovery.lost.one();
                 // The receiver is there as long as the program serves.
                 let _ = self.to_core.send(Message::NewsFailed).await;
@@ -63,17 +64,17 @@
     }
 
     /// One watch; says why it ended.
-    async fn watch(&mut self, seen: &mut Seen) -> &'static str {
+    async fn watch(&mut self, seen: &mut Seen) -> Reason {
         let patience = self.transport.discovery_answer;
         let mut stream = match timeout(patience, TcpStream::connect(self.address)).await {
-            Err(_) => return "connect_timeout",
-            Ok(Err(_)) => return "connect_refused",
+            Err(_) => return Reason::ConnectTimeout,
+            Ok(Err(_)) => return Reason::ConnectRefused,
             Ok(Ok(stream)) => stream,
         };
         let request = watch_request(&self.address.to_string(), self.index);
         match timeout(patience, stream.write_all(&request)).await {
             Ok(Ok(())) => {}
-            _ => return "write_failed",
+            _ => return Reason::WriteFailed,
         }
         let mut watch = Watch::default();
         let mut buffer = vec![0; 16 * 1024];
@@ -81,9 +82,9 @@
         loop {
             let patience = if told { self.transport.watch_silence } else { patience };
             let count = match timeout(patience, stream.read(&mut buffer)).await {
-                Err(_) => return if told { "silent" } else { "no_answer" },
-                Ok(Err(_)) => return "reset",
-                Ok(Ok(0)) => return "ended_by_peer",
+                Err(_) => return if told { Reason::Silent } else { Reason::NoAnswer },
+                Ok(Err(_)) => return Reason::Reset,
+                Ok(Ok(0)) => return Reason::EndedByPeer,
                 Ok(Ok(count)) => count,
             };
             seen.bytes_in += count as u64;
@@ -96,11 +97,11 @@
                         told = true;
                     }
                     Ok(None) => break,
-                    Err(error) => return error.code(),
+                    Err(error) => return error.into(),
                 }
             }
             if watch.ended() {
-                return "ended_by_peer";
+                return Reason::EndedByPeer;
             }
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod discovery;
 pub mod host;
 pub mod log;
+pub mod reasons;
 mod run;
 mod shutdown;
 mod upstream;
--- /dev/null
+++ b/crates/node/src/reasons.rs
@@ -0,0 +1,128 @@
+//! Why connections end: the stable codes of the log, explained in `docs/on-call.md`.
+
+use pinetrestle_protocol::frames::BadFrame;
+use pinetrestle_protocol::head::HttpError;
+use pinetrestle_protocol::watch::WatchError;
+use std::fmt;
+
+macro_rules! reasons {
+    ($($name:ident $code:literal),* $(,)?) => {
+        /// Why a connection has ended.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Reason {
+            $(#[doc = concat!("`", $code, "`")] $name,)*
+            /// What came is not HTTP as it is spoken here.
+            Http(HttpError),
+            /// What came is no frame.
+            Frame(BadFrame),
+        }
+
+        impl Reason {
+            /// All but those that the protocol names.
+            pub const OWN: &'static [Reason] = &[$(Reason::$name),*];
+
+            /// The code.
+            pub fn code(self) -> &'static str {
+                match self {
+                    $(Reason::$name => $code,)*
+                    Reason::Http(error) => error.code(),
+                    Reason::Frame(error) => error.code(),
+                }
+            }
+        }
+    };
+}
+
+reasons! {
+    ClientClosed "client_closed",
+    ClientGone "client_gone",
+    ClosedAsAsked "closed_as_asked",
+    Idle "idle",
+    MadeRoom "made_room",
+    Shutdown "shutdown",
+    ShutdownBetween "shutdown_between",
+    RequestTimeout "request_timeout",
+    WriteStalled "write_stalled",
+    WriteFailed "write_failed",
+    Reset "reset",
+    Broken "broken",
+    IoError "io_error",
+    Replaced "replaced",
+    EndedByPeer "ended_by_peer",
+    EndedWithinFrame "ended_within_frame",
+    ConnectRefused "connect_refused",
+    ConnectTimeout "connect_timeout",
+    ConnectFailed "connect_failed",
+    AskedAnew "asked_anew",
+    NoAnswer "no_answer",
+    Silent "silent",
+    Status "status",
+    BadList "bad_list",
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str(self.code())
+    }
+}
+
+impl From<HttpError> for Reason {
+    fn from(error: HttpError) -> Reason {
+        Reason::Http(error)
+    }
+}
+
+impl From<BadFrame> for Reason {
+    fn from(error: BadFrame) -> Reason {
+        Reason::Frame(error)
+    }
+}
+
+impl From<WatchError> for Reason {
+    fn from(error: WatchError) -> Reason {
+        match error {
+            WatchError::Http(error) => Reason::Http(error),
+            WatchError::Status(_) => Reason::Status,
+            WatchError::List(_) => Reason::BadList,
+        }
+    }
+}
+
+impl Reason {
+    /// Whether a connection that ended so never came up.
+    pub fn never_up(self) -> bool {
+        matches!(self, Reason::ConnectRefused | Reason::ConnectTimeout | Reason::ConnectFailed)
+    }
+}
+
+impl From<&std::io::Error> for Reason {
+    fn from(error: &std::io::Error) -> Reason {
+        use std::io::ErrorKind;
+        match error.kind() {
+            ErrorKind::ConnectionRefused => Reason::ConnectRefused,
+            ErrorKind::ConnectionReset => Reason::Reset,
+            ErrorKind::BrokenPipe | ErrorKind::ConnectionAborted => Reason::Broken,
+            _ => Reason::IoError,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_code_is_there_once_and_explained_to_those_on_call() {
+        let page = include_str!("../../../docs/on-call.md");
+        let mut codes: Vec<&str> = Reason::OWN.iter().map(|reason| reason.code()).collect();
+        codes.extend(HttpError::ALL.iter().map(|error| error.code()));
+        codes.extend(BadFrame::ALL.iter().map(|error| error.code()));
+        for code in &codes {
+            assert!(page.contains(&format!("`{code}`")), "{code} is not explained");
+        }
+        let all = codes.len();
+        codes.sort_unstable();
+        codes.dedup();
+        assert_eq!(codes.len(), all);
+    }
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -3,6 +3,7 @@
 use crate::config::Transport;
 use crate::counters::Counters;
 use crate::host::Peer;
+use crate::reasons::Reason;
 use crate::run::Message;
 use pinetrestle::interface::ReplicaId;
 use pinetrestle_protocol::link::{Link, Sending, Ticket};
@@ -173,39 +174,39 @@
         let begun = Instant::now();
         let (mut bytes_in, mut bytes_out) = (0, 0);
         let reason = match timeout(self.transport.connect, TcpStream::connect(address)).await {
-            Err(_) => "connect_timeout",
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => "connect_refused",
-            Ok(Err(_)) => "connect_failed",
+            Err(_) => Reason::ConnectTimeout,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reason::ConnectRefused,
+            Ok(Err(_)) => Reason::ConnectFailed,
             Ok(Ok(stream)) => self.serve(&stream, &mut bytes_in, &mut bytes_out).await,
         };
         self.conn.shut.set(true);
         let counts = &self.counters.connections;
         counts.servers_open.less();
-        counts.servers_failed.more(u64::from(reason.starts_with("connect_")));
+        counts.servers_failed.more(u64::from(reason.never_up()));
         let late = self.conn.link.borrow().late;
         self.counters.attempts.late_answers.more(late);
         let out = self.conn.link.borrow().open();
         info!(self.log, "connection ended"; "side" => "index_server", "peer" => %address,
             "name" => &self.conn.peer.name, "age_ms" => begun.elapsed().as_millis() as u64,
             "calls" => self.conn.calls.get(), "parts" => self.conn.parts.get(), "lost" => out, "late" => late,
-            "in" => bytes_in, "out" => bytes_out, "reason" => reason);
+            "in" => bytes_in, "out" => bytes_out, "reason" => %reason);
         // The receiver is there as long as the program serves.
         let _ = self.to_core.send(Message::ConnEnded(self.conn.clone())).await;
     }
 
     /// Reads and writes until the connection ends; says why it did.
-    async fn serve(&self, stream: &TcpStream, bytes_in: &mut u64, bytes_out: &mut u64) -> &'static str {
+    async fn serve(&self, stream: &TcpStream, bytes_in: &mut u64, bytes_out: &mut u64) -> Reason {
         // Without it frames would wait for acknowledgements; the connection works all the same.
         let _ = stream.set_nodelay(true);
         let link = &self.conn.link;
         let mut last = Instant::now();
         loop {
             if let Err(error) = self.write(stream, bytes_out, &mut last) {
-                return broken(&error);
+                return Reason::from(&error);
             }
             let idle = link.borrow().open() == 0 && link.borrow().waiting() == 0;
             if idle && self.conn.shut.get() {
-                return "replaced";
+                return Reason::Replaced;
             }
             let wants = if link.borrow().waiting() > 0 {
                 Interest::READABLE | Interest::WRITABLE
@@ -216,7 +217,7 @@
             tokio::select! {
                 ready = stream.ready(wants) => {
                     if let Err(error) = ready {
-                        return broken(&error);
+                        return Reason::from(&error);
                     }
                 }
                 () = self.conn.bell.notified() => continue,
@@ -224,7 +225,7 @@
                     let still = link.borrow().open() == 0 && link.borrow().waiting() == 0;
                     if still && last.elapsed() >= self.transport.server_idle {
                         self.conn.shut.set(true); // before anything else runs: no call slips in
-                        return "idle";
+                        return Reason::Idle;
                     }
                     continue;
                 }
@@ -233,7 +234,7 @@
             match read {
                 Ok(0) => {
                     let inside = link.borrow().within_frame();
-                    return if inside { "ended_within_frame" } else { "ended_by_peer" };
+                    return if inside { Reason::EndedWithinFrame } else { Reason::EndedByPeer };
                 }
                 Ok(count) => {
                     *bytes_in += count as u64;
@@ -248,12 +249,12 @@
                                 let _ = self.to_core.send(Message::Landed(landed)).await;
                             }
                             Ok(None) => break,
-                            Err(error) => return error.code(),
+                            Err(error) => return error.into(),
                         }
                     }
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(error) => return broken(&error),
+                Err(error) => return Reason::from(&error),
             }
         }
     }
@@ -282,11 +283,3 @@
         }
     }
 }
-
-fn broken(error: &std::io::Error) -> &'static str {
-    match error.kind() {
-        ErrorKind::ConnectionReset => "reset",
-        ErrorKind::BrokenPipe | ErrorKind::ConnectionAborted => "broken",
-        _ => "io_error",
-    }
-}
--- a/crates/protocol/src/frames.rs
+++ b/crates/protocol/src/frames.rs
@@ -23,6 +23,16 @@
 }
 
 impl BadFrame {
+    /// All of them.
+    pub const ALL: &'static [BadFrame] = &[
+        BadFrame::Length,
+        BadFrame::Letter,
+        BadFrame::Line,
+        BadFrame::Value,
+        BadFrame::Unknown,
+        BadFrame::Rejected,
+    ];
+
     /// A short stable name.
     pub fn code(self) -> &'static str {
         match self {
--- a/crates/protocol/src/head.rs
+++ b/crates/protocol/src/head.rs
@@ -29,6 +29,18 @@
 }
 
 impl HttpError {
+    /// All of them.
+    pub const ALL: &'static [HttpError] = &[
+        HttpError::BadStart,
+        HttpError::BadField,
+        HttpError::HeadTooLong,
+        HttpError::BadVersion,
+        HttpError::BadLength,
+        HttpError::BadCoding,
+        HttpError::BadChunk,
+        HttpError::BodyTooLong,
+    ];
+
     /// A short stable name.
     pub fn code(self) -> &'static str {
         match self {
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -5,6 +5,7 @@
 
 use crate::frames::{call, give_up, BadFrame, CallPart, End, Frame, Frames, Score};
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::IoSlice;
 
 /// The host's number for one attempt.
@@ -13,6 +14,12 @@
 /// Parts given up whose answers may still come; beyond so many the oldest are forgotten.
 const MOST_GIVEN_UP: usize = 4096;
 
+fn hash(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// One part of a call to be made.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sending {
@@ -60,7 +67,8 @@
     open: HashMap<String, Ticket>,
     names: HashMap<Ticket, String>,
     unwritten: HashSet<Ticket>,
-    given_up: VecDeque<String>,
+    /// Hashes of the ids given up: many are kept, few are ever asked for.
+    given_up: VecDeque<u64>,
     forgot: bool,
     /// Answers that came after their attempt had ended.
     pub late: u64,
@@ -70,7 +78,7 @@
     /// Whether a part of this id may go out here: neither out nor given up with its answer still to come,
     /// so that no answer is taken for that of another attempt.
     pub fn is_free(&self, id: &str) -> bool {
-        !self.open.contains_key(id) && !self.given_up.iter().any(|other| other == id)
+        !self.open.contains_key(id) && !self.given_up.contains(&hash(id))
     }
 
     /// Puts a call in line. Parts whose id is not free here are handed back: they were not sent.
@@ -114,7 +122,7 @@
             return;
         }
         self.push(give_up(&id), Vec::new());
-        self.given_up.push_back(id);
+        self.given_up.push_back(hash(&id));
         if self.given_up.len() > MOST_GIVEN_UP {
             self.given_up.pop_front();
             self.forgot = true;
@@ -167,7 +175,7 @@
                 self.unwritten.remove(&ticket);
                 return Ok(Some(Landed { ticket, end, score, value }));
             }
-            match self.given_up.iter().position(|other| *other == id) {
+            match self.given_up.iter().position(|other| *other == hash(&id)) {
                 Some(place) => {
                     self.given_up.remove(place);
                 }
--- a/crates/protocol/src/requests.rs
+++ b/crates/protocol/src/requests.rs
@@ -117,7 +117,11 @@
             }
             match head.framing(&self.buffer)? {
                 Framing::Length(length) if length > MOST_BODY => return Err(HttpError::BodyTooLong),
-                Framing::Length(length) => self.body = head.len..head.len + length,
+                Framing::Length(length) => {
+                    self.body = head.len..head.len + length;
+                    // No more than it takes: many senders may be slow at once.
+                    self.buffer.reserve_exact(self.body.end.saturating_sub(self.buffer.len()));
+                }
                 Framing::Unstated => self.body = head.len..head.len,
                 Framing::Chunked => {
                     self.body = head.len..head.len;
--- a/crates/protocol/src/watch.rs
+++ b/crates/protocol/src/watch.rs
@@ -28,17 +28,6 @@
     List(BadList),
 }
 
-impl WatchError {
-    /// A short stable name.
-    pub fn code(&self) -> &'static str {
-        match self {
-            WatchError::Http(error) => error.code(),
-            WatchError::Status(_) => "status",
-            WatchError::List(_) => "bad_list",
-        }
-    }
-}
-
 impl fmt::Display for WatchError {
     fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
