Bound shares, count late answers as they come, and test slow, deaf and crowded peers on sockets

A query whose shares do not add up to one whole can never be answered; it was refused, which invites the client to ask again for ever, and is now turned down as bad_weights. Six more tests on sockets; 300 bodies that stop short of their end cost under 64 MB.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -184,7 +184,6 @@
         counts.servers_open.less();
         counts.servers_failed.more(u64::from(reason.never_up()));
         let late = self.conn.link.borrow().late;
-        self.counters.attempts.late_answers.more(late);
         let out = self.conn.link.borrow().open();
         info!(self.log, "connection ended"; "side" => "index_server", "peer" => %address,
             "name" => &self.conn.peer.name, "age_ms" => begun.elapsed().as_millis() as u64,
@@ -240,6 +239,7 @@
                     *bytes_in += count as u64;
                     self.counters.connections.server_bytes_in.more(count as u64);
                     last = Instant::now();
+                    let late = link.borrow().late;
                     link.borrow_mut().feed(&self.scratch.borrow()[..count]);
                     loop {
                         let landed = link.borrow_mut().next_landed();
@@ -252,6 +252,7 @@
                             Err(error) => return error.into(),
                         }
                     }
+                    self.counters.attempts.late_answers.more(link.borrow().late - late);
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 Err(error) => return Reason::from(&error),
--- a/crates/node/tests/common/stand_ins.rs
+++ b/crates/node/tests/common/stand_ins.rs
@@ -407,6 +407,13 @@
         self.lines.lock().expect("no panic").clone()
     }
 
+    /// The most memory it has held, in kilobytes.
+    pub fn peak_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak");
+        line.split_whitespace().nth(1).and_then(|word| word.parse().ok()).expect("a number")
+    }
+
     pub fn terminate(&self) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -492,6 +492,81 @@
     eventually("the log says so", || stage.program.reasons("client").contains(&"request_timeout".to_owned()));
 }
 
+#[test]
+fn requests_sent_ahead_are_answered_in_order() {
+    let stage = Stage::new(&Doing::Serving);
+    let mut client = stage.client();
+    let first = query("all", &[0], 2000);
+    let second = query("all", &[1], 2000);
+    client.write(format!("{}GET /health/live HTTP/1.1\r\n\r\n{}", first.1, second.1).as_bytes());
+    assert!(client.read().body.contains(&format!("value of {}.0", first.0)));
+    assert!(client.read().body.contains("live"));
+    assert!(client.read().body.contains(&format!("value of {}.1", second.0)));
+}
+
+#[test]
+fn many_slow_bodies_stay_within_memory() {
+    let stage = Stage::new(&Doing::Serving);
+    let part = format!("POST /all HTTP/1.1\r\nContent-Length: 65000\r\n\r\n{}", " ".repeat(60_000));
+    let mut slow: Vec<Client> = (0..300).map(|_| stage.client()).collect();
+    for client in &mut slow {
+        client.write(part.as_bytes());
+    }
+    eventually("all of it is taken in", || {
+        stage.program.stats()["connections"]["client_bytes_in"].as_u64() >= Some(300 * 60_000)
+    });
+    assert_eq!(stage.client().send(&query("all", &[0, 1, 2], 2000).1).status, 200);
+    let peak = stage.program.peak_kb();
+    assert!(peak < 64 * 1024, "{peak} kB for 18 MB of bodies");
+}
+
+#[test]
+fn a_client_that_takes_no_answers_is_let_go() {
+    let stage = Stage::with(&Doing::Serving, |config| config["transport"] = json!({"answer_write_ms": 200}));
+    let mut deaf = stage.client();
+    // More answers than the kernel's buffers hold.
+    deaf.write("GET /stats HTTP/1.1\r\n\r\n".repeat(8000).as_bytes());
+    eventually("it is let go", || stage.program.reasons("client").contains(&"write_stalled".to_owned()));
+    assert_eq!(stage.client().send(&query("all", &[0], 2000).1).status, 200);
+}
+
+#[test]
+fn where_no_connection_is_left_the_attempt_never_ran() {
+    let stage = Stage::with(&Doing::Serving, |config| config["transport"] = json!({"server_connections": 1}));
+    let mut client = stage.client();
+    let answer = client.send(&query("all", &[0, 1], 600).1);
+    assert_eq!(answer.status, 503, "two cells need two connections: {answer:?}");
+    let stats = stage.balanced();
+    assert!(stats["connections"]["servers_none_left"].as_u64() >= Some(1));
+    assert!(stats["attempts"]["connect_failed"].as_u64() >= Some(1));
+    assert_eq!(stats["connections"]["servers_begun"], 1);
+}
+
+#[test]
+fn a_late_answer_is_dropped_and_counted() {
+    let stage = Stage::new(&Doing::ServingAfter(Duration::from_millis(900)));
+    let mut client = stage.client();
+    assert_eq!(client.send(&query("all", &[0], 400).1).status, 503);
+    eventually("it came late", || stage.program.stats()["attempts"]["late_answers"].as_u64() >= Some(1));
+    stage.doing(&Doing::Serving);
+    let (id, text) = query("all", &[0], 2000);
+    assert!(client.send(&text).body.contains(&format!("value of {id}.0")), "its own value and no other");
+}
+
+#[test]
+fn a_draining_server_gets_nothing_new() {
+    let stage = Stage::new(&Doing::Serving);
+    let mut lines = entries(&stage.servers);
+    lines[0]["status"] = json!("draining");
+    stage.tell(lines);
+    let mut client = stage.client();
+    for _ in 0..6 {
+        assert_eq!(client.send(&query("all", &[0, 3, 6], 2000).1).status, 200);
+    }
+    assert_eq!(stage.servers[0].seen().len(), 0);
+    assert_eq!(stage.servers[3].seen().len(), 18);
+}
+
 #[test]
 fn idle_connections_to_index_servers_are_closed_here_first() {
     let stage = Stage::with(&Doing::Serving, |config| {
--- a/crates/protocol/src/query.rs
+++ b/crates/protocol/src/query.rs
@@ -9,6 +9,9 @@
 /// Longest time that a client can wait, in milliseconds: an hour.
 const MOST_EXPIRY: u64 = 3_600_000;
 
+/// Rounding may take the sum of the shares this far from 1.
+const WEIGHT_SLACK: f64 = 0.01;
+
 /// Names of the header fields that a query carries.
 pub mod fields {
     /// The query's id.
@@ -40,6 +43,8 @@
     Shard,
     /// A shard stands there twice.
     Twice,
+    /// The shares of the parts are not those of one whole.
+    Weights,
     /// The text for the parts is no text.
     Text,
 }
@@ -55,6 +60,7 @@
             BadQuery::Part => "bad_part",
             BadQuery::Shard => "bad_shard",
             BadQuery::Twice => "shard_twice",
+            BadQuery::Weights => "bad_weights",
             BadQuery::Text => "bad_text",
         }
     }
@@ -127,6 +133,10 @@
     if named.windows(2).any(|two| two[0] == two[1]) {
         return Err(BadQuery::Twice);
     }
+    let sum: f64 = parts.iter().map(|part| part.weight).sum();
+    if (sum - 1.0).abs() > WEIGHT_SLACK {
+        return Err(BadQuery::Weights);
+    }
     let text = match body.get("filter") {
         None => String::new(),
         Some(text) => text.as_str().ok_or(BadQuery::Text)?.to_owned(),
--- a/crates/protocol/tests/query.rs
+++ b/crates/protocol/tests/query.rs
@@ -28,6 +28,8 @@
         (r#"{"slices":[{"slice":10,"mass":1.0}]}"#, BadQuery::Shard),
         (r#"{"slices":[{"slice":99999999999,"mass":1.0}]}"#, BadQuery::Shard),
         (r#"{"slices":[{"slice":1,"mass":0.5},{"slice":1,"mass":0.5}]}"#, BadQuery::Twice),
+        (r#"{"slices":[{"slice":1,"mass":0.5},{"slice":2,"mass":0.4}]}"#, BadQuery::Weights),
+        (r#"{"slices":[{"slice":1,"mass":0.0}]}"#, BadQuery::Weights),
         (r#"{"slices":[{"slice":1,"mass":1.0}],"filter":7}"#, BadQuery::Text),
     ];
     for (body, wanted) in cases {
