--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -190,6 +190,7 @@
     let transport = Rc::new(config.transport.clone());
     let ready = Rc::new(Cell::new(false));
     let pushed = !config.deployment.settings.must_ask;
+    let may_cancel = config.deployment.settings.limits.cancel;
 
     let deployment = Rc::new(config.deployment.clone());
     let mut host = Host::new(deployment, counters.clone(), config.seed, epoch, Micros(0));
@@ -205,7 +206,7 @@
     tokio::task::spawn_local(discovery.run(asked));
     let core = Core {
         host,
-        pools: Pools::new(transport.clone(), counters.clone(), log.clone(), to_core.clone()),
+        pools: Pools::new(transport.clone(), counters.clone(), log.clone(), to_core.clone(), may_cancel),
         start,
         inbox,
         ask_discovery,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -46,6 +46,8 @@
     by_replica: HashMap<ReplicaId, Vec<Rc<Conn>>>,
     carriers: HashMap<Ticket, Rc<Conn>>,
     scratch: Rc<RefCell<Vec<u8>>>,
+    /// The deployment lets attempts be cancelled.
+    may_cancel: bool,
     next: u64,
 }
 
@@ -56,10 +58,11 @@
         counters: Rc<Counters>,
         log: Logger,
         to_core: mpsc::Sender<Message>,
+        may_cancel: bool,
     ) -> Pools {
         let (by_replica, carriers) = (HashMap::new(), HashMap::new());
         let scratch = Rc::new(RefCell::new(vec![0; READ]));
-        Pools { transport, counters, log, to_core, by_replica, carriers, scratch, next: 0 }
+        Pools { transport, counters, log, to_core, by_replica, carriers, scratch, may_cancel, next: 0 }
     }
 
     /// Sends a call and returns the attempts that found no connection.
@@ -135,7 +138,7 @@
     /// An attempt is given up.
     pub fn give_up(&mut self, ticket: Ticket) {
         if let Some(conn) = self.carriers.remove(&ticket) {
-            conn.link.borrow_mut().give_up(ticket);
+            conn.link.borrow_mut().give_up(ticket, self.may_cancel);
             conn.bell.notify_one();
         }
     }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -47,7 +47,14 @@
 }
 
 pub fn config() -> Config {
+    config_with(|_| {})
+}
+
+/// The same with something changed in its settings.
+pub fn config_with(change: impl FnOnce(&mut Value)) -> Config {
     let entries: Vec<Value> =
         (0..6).map(|n| entry(&format!("s{n}"), &format!("127.0.0.1:{}", 7000 + n), n % 3)).collect();
-    Config::from_json(&config_json("127.0.0.1:0", "127.0.0.1:1", &list(1, &entries))).expect("a good file")
+    let mut file = config_json("127.0.0.1:0", "127.0.0.1:1", &list(1, &entries));
+    change(&mut file["settings"]);
+    Config::from_json(&file).expect("a good file")
 }
--- a/crates/node/tests/common/stand_ins.rs
+++ b/crates/node/tests/common/stand_ins.rs
@@ -335,13 +335,22 @@
     _file: tempfile::TempPath,
 }
 
-/// A program that could not start: its exit code and what it said.
+/// A program that can't start: its exit code and what it said.
 pub fn start_badly(config: &Value) -> (Option<i32>, String) {
     let file = write_config(config);
-    let output = Command::new(env!("CARGO_BIN_EXE_pinetrestle-node"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pinetrestle-node"))
         .env("RELAY_CONFIG", &file)
-        .output()
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
         .expect("the program starts");
+    let end = Instant::now() + BOUND;
+    while child.try_wait().expect("it can be asked").is_none() && Instant::now() < end {
+        thread::sleep(Duration::from_millis(5));
+    }
+    // One that serves all the same is ended here; it has no exit code then.
+    let _ = child.kill();
+    let output = child.wait_with_output().expect("it has ended");
     let said = [output.stderr, output.stdout].concat();
     (output.status.code(), String::from_utf8_lossy(&said).into_owned())
 }
--- a/crates/node/tests/host.rs
+++ b/crates/node/tests/host.rs
@@ -2,14 +2,16 @@
 
 mod common;
 
-use common::{config, ALL, ANY, STEPS};
+use common::{config, config_with, ALL, ANY, STEPS};
 use pinetrestle::interface::Micros;
 use pinetrestle_node::counters::Counters;
 use pinetrestle_node::host::{Ask, Host, NotTaken, Order, Reply};
+use pinetrestle_node::Config;
 use pinetrestle_protocol::frames::{End, Score};
 use pinetrestle_protocol::link::{Landed, Sending};
 use pinetrestle_protocol::query::PartAsked;
 use pinetrestle_protocol::registry::{Entry, News, Status};
+use serde_json::json;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -28,7 +30,10 @@
 
 impl World {
     fn new() -> World {
-        let config = config();
+        World::of(&config())
+    }
+
+    fn of(config: &Config) -> World {
         let counters = Rc::new(Counters::new(&config.deployment.classes));
         let mut host = Host::new(Rc::new(config.deployment.clone()), counters.clone(), 5, 0, Micros(0));
         host.news(&config.known, true);
@@ -249,6 +254,29 @@
     world.balanced();
 }
 
+#[test]
+fn an_attempt_that_may_not_be_cancelled_ends_at_its_time_out_and_the_part_is_tried_again() {
+    let mut world = World::of(&config_with(|settings| {
+        settings["permissions"]["cancel"] = json!(false);
+        settings["permissions"]["may_duplicate"] = json!(false);
+    }));
+    world.ask(ALL, &[0]).expect("taken");
+    let (first, (replica, part)) = world.out.pop_first().expect("one part is out");
+    let wait: i64 = part.list.strip_prefix("d=").and_then(|text| text.parse().ok()).expect("milliseconds");
+    assert!(wait < 1900, "the time-out comes before the client's end: {wait} ms");
+    world.pass((wait - 1) * MS);
+    assert_eq!(world.counters.attempts.timeout.get(), 0);
+    world.pass(MS);
+    assert_eq!(world.counters.attempts.timeout.get(), 1);
+    let (second, (other, _)) = world.out.iter().next().expect("it is tried again");
+    assert!(*second != first && *other != replica);
+    let second = *second;
+    world.host.lost(Micros(world.now), first, true);
+    world.land(second, End::Served, 0, "v");
+    assert_eq!((world.replies.len(), world.counters.attempts.reset.get()), (1, 0));
+    world.balanced();
+}
+
 #[test]
 fn silence_ends_with_one_final_answer_in_time() {
     let mut world = World::new();
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -107,8 +107,9 @@
         self.out.push_back(Outgoing { bytes, starts });
     }
 
-    /// Gives an attempt up. A call of this part alone of which nothing is written yet never goes out.
-    pub fn give_up(&mut self, ticket: Ticket) {
+    /// Gives an attempt up, and says so to the index server where that is allowed. A call of this part alone
+    /// of which nothing is written yet never goes out.
+    pub fn give_up(&mut self, ticket: Ticket, say: bool) {
         let Some(id) = self.names.remove(&ticket) else { return };
         self.open.remove(&id);
         let unwritten = self.unwritten.remove(&ticket);
@@ -121,7 +122,9 @@
             }
             return;
         }
-        self.push(give_up(&id), Vec::new());
+        if say {
+            self.push(give_up(&id), Vec::new());
+        }
         self.given_up.push_back(hash(&id));
         if self.given_up.len() > MOST_GIVEN_UP {
             self.given_up.pop_front();
--- a/crates/protocol/tests/link.rs
+++ b/crates/protocol/tests/link.rs
@@ -136,12 +136,12 @@
     let mut link = Link::default();
     link.call(vec![sending(1, "q.3")]);
     link.call(vec![sending(2, "q.4")]);
-    link.give_up(2);
+    link.give_up(2, true);
     assert_eq!(write(&mut link, usize::MAX), frame(b'1', "q.3 3 d=240 8\nc41e77d0"));
     // One that has begun goes out whole, with the word that it is given up behind it.
     link.call(vec![sending(3, "q.5")]);
     write(&mut link, 3);
-    link.give_up(3);
+    link.give_up(3, true);
     let rest = write(&mut link, usize::MAX);
     assert!(rest.ends_with(&frame(b'2', "q.5")));
     assert_eq!(link.lost(), vec![(1, true)]);
@@ -150,7 +150,7 @@
 #[test]
 fn a_late_answer_is_dropped_and_its_id_is_not_free_before() {
     let mut link = open_link(&["q.3"]);
-    link.give_up(1);
+    link.give_up(1, true);
     assert_eq!(write(&mut link, usize::MAX), frame(b'2', "q.3"));
     assert!(!link.is_free("q.3"));
     assert_eq!(
@@ -168,6 +168,15 @@
     assert_eq!((landed.ticket, landed.value.as_str()), (3, "value"));
 }
 
+#[test]
+fn where_nothing_may_be_said_an_attempt_is_given_up_in_silence() {
+    let mut link = open_link(&["q.3"]);
+    link.give_up(1, false);
+    assert_eq!((link.open(), link.waiting(), link.is_free("q.3")), (0, 0, false));
+    link.feed(&frame(b'5', "q.3 S 1 -\nlate"));
+    assert_eq!((link.next_landed(), link.late), (Ok(None), 1));
+}
+
 #[test]
 fn what_is_remembered_of_given_up_parts_has_a_bound() {
     let mut link = Link::default();
@@ -176,7 +185,7 @@
         while link.waiting() > 0 {
             write(&mut link, usize::MAX);
         }
-        link.give_up(ticket);
+        link.give_up(ticket, true);
     }
     while link.waiting() > 0 {
         write(&mut link, usize::MAX);
