--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,7 +1,7 @@
 //! The one place where configuration is read, checked and given defaults.
 
 use pinetrestle_protocol::registry::{self, News};
-use pinetrestle_settings::fields::{count, field, id, maybe, text, Fault, Parsed};
+use pinetrestle_settings::fields::{count, field, maybe, text, Fault, Parsed};
 use pinetrestle_settings::Deployment;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -177,7 +177,7 @@
             return Err(Fault::new("limits.sockets", format!("is under {LEAST_SOCKETS}")));
         }
         let knobs = transport(file.get("transport").unwrap_or(&Value::Null), &deployment, sockets as usize);
-        let config = Config {
+        Ok(Config {
             name: text(file, "name")?.to_owned(),
             listen: address(file, "listen")?,
             discovery: address(file, "discovery")?,
@@ -186,9 +186,7 @@
             transport: knobs.map_err(|fault| fault.within("transport"))?,
             deployment,
             shards,
-        };
-        id(file.get("settings").unwrap_or(file), "fleet_size").map_err(|fault| fault.within("settings"))?;
-        Ok(config)
+        })
     }
 
     /// Reads the configuration that the environment names.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -171,7 +171,8 @@
     }
 }
 
-/// Serves until `stop` ends, then hands over, finishes what was taken, and returns.
+/// Serves until `stop` ends, then hands over, finishes what was taken, and returns. An error means that it
+/// could not listen, or that its core has broken down.
 ///
 /// Has to run within a [`LocalSet`] on a runtime with all drivers enabled.
 pub async fn serve(
@@ -219,7 +220,7 @@
         watch_again: transport.watch_again,
         log: log.clone(),
     };
-    tokio::task::spawn_local(core.run());
+    let core = tokio::task::spawn_local(core.run());
     let front = Rc::new(Front {
         config: Rc::new(config),
         counters: counters.clone(),
@@ -235,7 +236,11 @@
     info!(log, "serving"; "listen" => %listens_at, "discovery" => %front.config.discovery,
         "clients" => transport.client_connections, "servers" => transport.server_connections);
 
-    stop.await;
+    tokio::select! {
+        () = stop => {}
+        // Without its core the node could only fail what it takes: better to end, and be started again.
+        _ = core => return Err(std::io::Error::other("the core loop has ended")),
+    }
     let told = Instant::now();
     let stop_by = told + transport.stop_within;
     info!(log, "stopping"; "open" => counters.connections.clients_open.get());
@@ -295,7 +300,7 @@
             ExitCode::SUCCESS
         }
         Err(error) => {
-            error!(log, "can't listen"; "listen" => %listen, "error" => %error);
+            error!(log, "can't serve"; "listen" => %listen, "error" => %error);
             ExitCode::FAILURE
         }
     };
--- a/crates/node/tests/common/stand_ins.rs
+++ b/crates/node/tests/common/stand_ins.rs
@@ -337,9 +337,15 @@
 
 /// A program that can't start: its exit code and what it said.
 pub fn start_badly(config: &Value) -> (Option<i32>, String) {
+    start_badly_with(config, &[])
+}
+
+/// The same with further variables in the environment.
+pub fn start_badly_with(config: &Value, variables: &[(&str, &str)]) -> (Option<i32>, String) {
     let file = write_config(config);
     let mut child = Command::new(env!("CARGO_BIN_EXE_pinetrestle-node"))
         .env("RELAY_CONFIG", &file)
+        .envs(variables.iter().copied())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -7,7 +7,9 @@
 
 use common::{config_json, entry, list};
 use serde_json::{json, Value};
-use stand_ins::{eventually, query, start_badly, Client, Discovery, Doing, Program, Server, Telling};
+use stand_ins::{
+    eventually, query, start_badly, start_badly_with, Client, Discovery, Doing, Program, Server, Telling,
+};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
@@ -610,6 +612,20 @@
     assert!(start_badly(&config).1.contains("'transport.request_ms'"));
 }
 
+#[test]
+fn the_environment_stands_in_for_keys_that_the_file_lacks_and_for_no_others() {
+    let mut config = config_json("127.0.0.1:0", "127.0.0.1:1", &list(0, &[]));
+    config["seed"] = json!("zz");
+    let (_, said) = start_badly_with(&config, &[("RELAY_LISTEN", "nowhere")]);
+    assert!(said.contains("'seed'"), "the file's own address holds: {said}");
+    config.as_object_mut().expect("an object").remove("listen");
+    let (code, said) = start_badly_with(&config, &[("RELAY_LISTEN", "nowhere")]);
+    assert_eq!(code, Some(2));
+    assert!(said.contains("'listen'"), "{said}");
+    let (_, said) = start_badly_with(&config, &[("RELAY_LISTEN", "127.0.0.1:0")]);
+    assert!(said.contains("'seed'"), "{said}");
+}
+
 #[test]
 fn an_address_in_use_ends_the_program_with_a_word() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
