Keep to the system's own descriptor limit; check settings the module takes for granted

Where the system allows fewer descriptors than limits.sockets, the node would have run out of them: accepting fails and index servers can't be reached. The lower of the two now sets the bounds; tested under a shell's limit of 72 with a flood of 100. Class times and counts of 0 end the start with the key's name. Settings have tests of their own.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -12,6 +12,8 @@
     [("name", "RELAY_NAME"), ("listen", "RELAY_LISTEN"), ("discovery", "RELAY_DISCOVERY")];
 /// The variable that names the file.
 const FILE: &str = "RELAY_CONFIG";
+/// Descriptors it may hold, where the file does not say.
+const DEFAULT_SOCKETS: u64 = 1024;
 /// Least number of descriptors with which a front node can work.
 const LEAST_SOCKETS: u64 = 64;
 /// Descriptors that are no connections: standard streams, the poller, the listener, discovery, spares.
@@ -85,6 +87,13 @@
     .ok_or_else(|| Fault::new(name, "is not 16 hex digits"))
 }
 
+/// The descriptors that the system lets this process have, where it tells.
+fn descriptors() -> Option<u64> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 /// What may stand in the object `transport`, in milliseconds, bytes or counts.
 const KNOBS: [&str; 15] = [
     "request_ms",
@@ -153,6 +162,34 @@
     })
 }
 
+/// What the module takes for granted and a simulator never gets wrong.
+fn check(deployment: &Deployment) -> Parsed<()> {
+    let set = &deployment.settings;
+    if set.classes.is_empty() {
+        return Err(Fault::new("classes", "is empty"));
+    }
+    for (place, class) in set.classes.iter().enumerate() {
+        let fault = |key: &str, wrong: &str| Err(Fault::new(&format!("classes[{place}].{key}"), wrong));
+        if class.deadline.0 <= 0 {
+            return fault("hard_limit", "must be more than 0");
+        }
+        if class.aim.0 <= 0 {
+            return fault("aim", "must be more than 0");
+        }
+    }
+    let positive = [
+        ("fleet_size", set.fleet_size),
+        ("family_info.positions", set.cells),
+        ("family_info.span", set.span),
+        ("permissions.try_limit", set.limits.attempts),
+        ("permissions.most_held", set.limits.held),
+    ];
+    match positive.iter().find(|(_, value)| *value == 0) {
+        Some((key, _)) => Err(Fault::new(key, "must be more than 0")),
+        None => Ok(()),
+    }
+}
+
 impl Config {
     /// Reads the configuration from its JSON value.
     pub fn from_json(file: &Value) -> Parsed<Config> {
@@ -161,6 +198,7 @@
         }
         let deployment = pinetrestle_settings::read(field(file, "settings")?);
         let deployment = deployment.map_err(|fault| fault.within("settings"))?;
+        check(&deployment).map_err(|fault| fault.within("settings"))?;
         let known = match file.get("known") {
             None | Some(Value::Null) => News { index: 0, whole: true, entries: Vec::new() },
             Some(known) => registry::news(known)
@@ -172,7 +210,7 @@
             None => None,
             Some(limits) => maybe(limits, "sockets", count).map_err(|fault| fault.within("limits"))?,
         };
-        let sockets = sockets.unwrap_or(1024);
+        let sockets = sockets.unwrap_or(DEFAULT_SOCKETS);
         if sockets < LEAST_SOCKETS {
             return Err(Fault::new("limits.sockets", format!("is under {LEAST_SOCKETS}")));
         }
@@ -202,6 +240,16 @@
                     object.insert(key.to_owned(), Value::String(value));
                 }
             }
+            // Whatever the file allows, the system has the last word.
+            if let Some(most) = descriptors() {
+                let limits = object.entry("limits").or_insert_with(|| Value::Object(Default::default()));
+                let stated = limits.get("sockets").cloned().unwrap_or_else(|| DEFAULT_SOCKETS.into());
+                if let (Some(limits), Some(true)) =
+                    (limits.as_object_mut(), stated.as_u64().map(|n| n > most))
+                {
+                    limits.insert("sockets".to_owned(), most.into());
+                }
+            }
         }
         Config::from_json(&file)
     }
--- a/crates/node/tests/common/stand_ins.rs
+++ b/crates/node/tests/common/stand_ins.rs
@@ -369,8 +369,14 @@
 
 impl Program {
     pub fn start(config: &Value) -> Program {
+        Program::start_under("true", config)
+    }
+
+    /// Starts it from a shell in which this was done before.
+    pub fn start_under(first: &str, config: &Value) -> Program {
         let file = write_config(config);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_pinetrestle-node"))
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", &format!("{first}; exec \"$0\""), env!("CARGO_BIN_EXE_pinetrestle-node")])
             .env("RELAY_CONFIG", &file)
             .stdout(Stdio::piped())
             .spawn()
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -483,6 +483,22 @@
     assert_eq!(stage.program.stats()["connections"]["accept_failed"], 0);
 }
 
+#[test]
+fn a_flood_within_a_lower_limit_of_the_system_costs_nobody_an_answer() {
+    let servers: Vec<Server> = (0..3).map(|_| Server::start(Doing::Serving)).collect();
+    let discovery = Discovery::start(entries(&servers));
+    let config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(1, &entries(&servers)));
+    let program = Program::start_under("ulimit -n 72", &config);
+    let _flood: Vec<Client> = (0..100).map(|_| Client::to(program.address)).collect();
+    let answer = Client::to(program.address).send(&query("all", &[0, 1, 2], 2000).1);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let stats = program.stats();
+    assert_eq!(
+        (&stats["connections"]["accept_failed"], &stats["connections"]["servers_failed"]),
+        (&json!(0), &json!(0))
+    );
+}
+
 #[test]
 fn slow_senders_are_bounded_and_cost_nobody_an_answer() {
     let stage = Stage::with(&Doing::Serving, |config| config["transport"] = json!({"request_ms": 300}));
@@ -587,7 +603,7 @@
 #[test]
 fn bad_configuration_is_named_by_its_key_before_anything_listens() {
     let good = || config_json("127.0.0.1:0", "127.0.0.1:1", &list(0, &[]));
-    let cases: [(&str, Value, &str); 9] = [
+    let cases: [(&str, Value, &str); 13] = [
         ("/listen", json!("nowhere"), "listen"),
         ("/discovery", json!(7), "discovery"),
         ("/seed", json!("zz"), "seed"),
@@ -596,6 +612,10 @@
         ("/settings/classes/1/aim", Value::Null, "settings.classes[1].aim"),
         ("/settings/family_info/slabs", Value::Null, "settings.family_info.slabs"),
         ("/settings/permissions/most_held", json!(-1), "settings.permissions.most_held"),
+        ("/settings/permissions/most_held", json!(0), "settings.permissions.most_held"),
+        ("/settings/classes/0/hard_limit", json!(0), "settings.classes[0].hard_limit"),
+        ("/settings/classes/2/aim", json!(-3), "settings.classes[2].aim"),
+        ("/settings/family_info/positions", json!(0), "settings.family_info.positions"),
         ("/known/index", json!("x"), "known.index"),
     ];
     for (place, value, key) in cases {
