--- /dev/null
+++ b/crates/node/tests/embed.rs
@@ -0,0 +1,48 @@
+//! The node embedded in another program: started, asked, stopped, without a process of its own.
+
+mod common;
+
+use common::{config_json, list};
+use pinetrestle_node::counters::Counters;
+use pinetrestle_node::{serve, Config};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+
+#[test]
+fn an_embedded_node_serves_until_it_is_told_to_stop() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        // The kernel gives a free port; nobody else takes it in the moment until the node does.
+        let free = TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("an address");
+        let mut file = config_json(&free.to_string(), "127.0.0.1:1", &list(0, &[]));
+        file["transport"] = serde_json::json!({"hand_over_ms": 50});
+        let config = Config::from_json(&file).expect("a good file");
+        let counters = Rc::new(Counters::new(&config.deployment.classes));
+        let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let node = tokio::task::spawn_local(serve(config, log, counters.clone(), async {
+            // Told, or left behind: either way it is time to stop.
+            let _ = stopped.await;
+        }));
+        let mut client = loop {
+            match TcpStream::connect(free).await {
+                Ok(client) => break client,
+                Err(_) => tokio::task::yield_now().await,
+            }
+        };
+        client.write_all(b"GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n").await.expect("written");
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).await.expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        drop(client);
+        stop.send(()).expect("it listens");
+        let ended = timeout(Duration::from_secs(10), node).await.expect("in time").expect("no panic");
+        ended.expect("in good order");
+        assert_eq!(counters.connections.requests.get(), 1);
+        assert!(TcpStream::connect(free).await.is_err(), "nobody listens any more");
+    });
+}
