--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -266,6 +266,20 @@
     stage.balanced();
 }
 
+#[test]
+fn a_query_s_time_runs_from_its_first_byte() {
+    let stage = Stage::new(&Doing::Silent);
+    let (_, text) = query("all", &[0], 1500);
+    let mut client = stage.client();
+    let begun = Instant::now();
+    client.write(&text.as_bytes()[..20]);
+    std::thread::sleep(Duration::from_millis(1000)); // the sender is this slow
+    client.write(&text.as_bytes()[20..]);
+    assert_eq!(client.read().status, 503);
+    let took = begun.elapsed();
+    assert!(took >= Duration::from_millis(1400) && took < Duration::from_millis(2200), "{took:?}");
+}
+
 #[test]
 fn a_server_that_restarts_under_its_name_is_reached_at_its_new_address() {
     let stage = Stage::new(&Doing::Serving);
