--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,6 +1,6 @@
 //! Connections of clients: the listener and the task that drives each connection.
 
-use crate::config::Config;
+use crate::config::Live;
 use crate::counters::Counters;
 use crate::host::{Ask, NotTaken, Reply};
 use crate::reasons::Reason;
@@ -30,8 +30,8 @@
 
 /// What all connections of clients share.
 pub struct Front {
-    /// Configuration.
-    pub config: Rc<Config>,
+    /// The configuration in force.
+    pub live: Rc<Live>,
     /// Counts.
     pub counters: Rc<Counters>,
     /// Where queries go.
@@ -52,10 +52,10 @@
 
 /// Accepts connections until the front node closes, then those that wait already.
 pub async fn listen(front: Rc<Front>, listener: TcpListener, mut phases: Phases) {
-    let most = front.config.transport.client_connections as u64;
     let mut closing = phases.clone();
     let mut begun_closing = false;
     loop {
+        let most = front.live.get().transport.client_connections as u64;
         if front.counters.connections.clients_open.get() >= most {
             // The connection that has rested longest makes room; where none rests, the next waits its turn.
             front.crowded.notify_one();
@@ -186,7 +186,8 @@
 
     /// Reads until a request is whole, and says when it began.
     async fn read_request(&mut self) -> Result<Instant, Over> {
-        let transport = self.front.config.transport.clone();
+        let config = self.front.live.get();
+        let transport = &config.transport;
         // What was sent ahead of the last answer has begun by now.
         let mut arrived = (!self.requests.is_empty()).then(Instant::now);
         let rests_since = Instant::now();
@@ -284,7 +285,7 @@
     /// Writes an answer, head and body in one gathered write.
     async fn write(&mut self, answer: Answer, close: bool) -> Result<(), Over> {
         let head = answer_head(answer.status, answer.body.len(), answer.retry_after, close);
-        let until = Instant::now() + self.front.config.transport.answer_write;
+        let until = Instant::now() + self.front.live.get().transport.answer_write;
         let total = head.len() + answer.body.len();
         let mut done = 0;
         while done < total {
@@ -313,7 +314,7 @@
     /// Ends the connection from our side: says so, then reads on for a moment, since bytes left unread would
     /// make the kernel take back what the client has not read yet.
     async fn part(&mut self) {
-        let linger = self.front.config.transport.linger;
+        let linger = self.front.live.get().transport.linger;
         // A connection that is gone already needs no farewell.
         let _ = self.stream.shutdown().await;
         let _ = timeout(linger, async {
@@ -379,7 +380,8 @@
     }
 
     fn query(&self, request: &Request<'_>, path: &str, arrived: Instant) -> Result<Ask, (u16, &'static str)> {
-        let deployment = &self.config.deployment;
+        let config = self.live.get();
+        let deployment = &config.deployment;
         let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
         let name = request.field(fields::CLASS).unwrap_or(first);
         let class = deployment.class(name).ok_or((404, "unknown_class"))?;
@@ -395,7 +397,7 @@
         let bad = |error: query::BadQuery| (400, error.code());
         let trace = query::query_id(request.field(fields::ID)).map_err(bad)?.to_owned();
         let expiry = query::expiry(request.field(fields::EXPIRES)).map_err(bad)?;
-        let body = query::parse(request.body, self.config.shards).map_err(bad)?;
+        let body = query::parse(request.body, config.shards).map_err(bad)?;
         // Nobody waits longer than the class allows, whatever a request says.
         let most = deployment.settings.classes[class].deadline;
         let expires_in = Micros(expiry).min(most) - Micros(arrived.elapsed().as_micros() as i64);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -4,7 +4,9 @@
 use pinetrestle_settings::fields::{count, field, maybe, text, Fault, Parsed};
 use pinetrestle_settings::Deployment;
 use serde_json::Value;
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Variables of the environment that stand in for keys the file lacks.
@@ -73,6 +75,29 @@
     pub shards: u32,
     /// Figures of the sockets.
     pub transport: Transport,
+    /// The settings as the file states them, to tell whether another file's differ.
+    stated: Value,
+}
+
+/// The configuration in force. What a reload may change is read here whenever it is used.
+#[derive(Debug)]
+pub struct Live(RefCell<Rc<Config>>);
+
+impl Live {
+    /// In force from the start.
+    pub fn new(config: Config) -> Live {
+        Live(RefCell::new(Rc::new(config)))
+    }
+
+    /// What is in force now.
+    pub fn get(&self) -> Rc<Config> {
+        self.0.borrow().clone()
+    }
+
+    /// Puts another in force.
+    pub fn set(&self, config: Config) {
+        *self.0.borrow_mut() = Rc::new(config);
+    }
 }
 
 fn address(value: &Value, name: &str) -> Parsed<SocketAddr> {
@@ -224,11 +249,35 @@
             transport: knobs.map_err(|fault| fault.within("transport"))?,
             deployment,
             shards,
+            stated: field(file, "settings")?.clone(),
         })
     }
 
+    /// The configuration that takes this one's place in a running program, and the keys of the file that
+    /// have to wait for the next start. A file with any fault is no good as a whole, and so is one for
+    /// another front node or another address to listen on.
+    pub fn revised(&self, file: &Value) -> Parsed<(Config, Vec<&'static str>)> {
+        let next = Config::from_json(file)?;
+        let fixed = [("name", next.name == self.name), ("listen", next.listen == self.listen)];
+        if let Some((key, _)) = fixed.iter().find(|(_, same)| !same) {
+            return Err(Fault::new(key, "can't change while the program runs"));
+        }
+        if next.stated == self.stated {
+            return Ok((next, Vec::new()));
+        }
+        // What the decisions rest on stays: queries and attempts that are open were counted by it.
+        let mut file = file.clone();
+        file["settings"] = self.stated.clone();
+        Ok((Config::from_json(&file)?, vec!["settings"]))
+    }
+
     /// Reads the configuration that the environment names.
     pub fn from_environment() -> Parsed<Config> {
+        Config::from_json(&Config::file_from_environment()?)
+    }
+
+    /// Reads the file that the environment names, completed by the environment.
+    pub fn file_from_environment() -> Parsed<Value> {
         let path = std::env::var(FILE).map_err(|_| Fault::new(FILE, "is not set"))?;
         let bytes = std::fs::read(&path)
             .map_err(|error| Fault::new(FILE, format!("can't be read: {path}: {error}")))?;
@@ -251,6 +300,6 @@
                 }
             }
         }
-        Config::from_json(&file)
+        Ok(file)
     }
 }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -162,6 +162,10 @@
         turns,
         /// Times the module broke down and was begun anew.
         module_restarts,
+        /// New configurations put in force.
+        reloads,
+        /// New configurations refused: the old one stayed.
+        reloads_refused,
         /// Log lines dropped because nobody read them.
         log_lines_dropped,
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,9 +13,11 @@
 pub mod host;
 pub mod log;
 pub mod reasons;
+mod reload;
 mod run;
 mod shutdown;
 mod upstream;
 
 pub use config::Config;
-pub use run::{main_from_environment, serve};
+pub use reload::Reloads;
+pub use run::{main_from_environment, serve, serve_reloading};
--- /dev/null
+++ b/crates/node/src/reload.rs
@@ -0,0 +1,58 @@
+//! A new configuration in a running program: taken whole or not at all.
+
+use crate::config::{Config, Live};
+use crate::counters::Counters;
+use pinetrestle_settings::fields::Parsed;
+use serde_json::Value;
+use slog::{info, warn, Logger};
+use std::rc::Rc;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{mpsc, Notify};
+
+/// New configuration files, as they come: the content, or why there is none.
+pub type Reloads = mpsc::Receiver<Parsed<Value>>;
+
+/// From here on SIGHUP no longer ends the program.
+pub(crate) fn hang_ups() -> std::io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
+/// Reads the file anew at each signal. Signals that come while one is handled count as one.
+pub(crate) async fn at_signals(mut hang_ups: Signal, files: mpsc::Sender<Parsed<Value>>) {
+    while hang_ups.recv().await.is_some() {
+        if files.send(Config::file_from_environment()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Takes each new file: checked whole, then in force, or else the old one stays and the log says why.
+pub(crate) async fn follow(
+    mut files: Reloads,
+    live: Rc<Live>,
+    moved: Rc<Notify>,
+    counters: Rc<Counters>,
+    log: Logger,
+) {
+    while let Some(file) = files.recv().await {
+        let old = live.get();
+        match file.and_then(|file| old.revised(&file)) {
+            Ok((next, waits)) => {
+                counters.own.reloads.one();
+                info!(log, "configuration taken"; "discovery" => %next.discovery,
+                    "clients" => next.transport.client_connections,
+                    "servers" => next.transport.server_connections,
+                    "waits_for_a_restart" => waits.join(","));
+                let elsewhere = next.discovery != old.discovery;
+                live.set(next);
+                if elsewhere {
+                    moved.notify_one();
+                }
+            }
+            Err(fault) => {
+                counters.own.reloads_refused.one();
+                warn!(log, "configuration kept"; "key" => &fault.key, "error" => %fault);
+            }
+        }
+    }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,17 +1,18 @@
 //! Puts the parts together: the core loop around the host, and start and end of the program.
 
 use crate::clients::{listen, Front, READ};
-use crate::config::Config;
+use crate::config::{Config, Live};
 use crate::counters::Counters;
 use crate::discovery::Discovery;
 use crate::host::{Ask, Host, NotTaken, Order, Reply};
 use crate::log::{logger, LAST_LINES};
+use crate::reload::{at_signals, follow, hang_ups, Reloads};
 use crate::shutdown::{told_to_stop, Phase};
 use crate::upstream::{Conn, Pools};
 use pinetrestle::interface::{Id, Micros};
 use pinetrestle_protocol::link::Landed;
 use pinetrestle_protocol::registry::News;
-use slog::{error, info, Logger};
+use slog::{error, info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
@@ -60,7 +61,7 @@
     /// Where the list is pushed, a lost watch is asked for again then.
     watch_at: Option<Instant>,
     pushed: bool,
-    watch_again: Duration,
+    live: Rc<Live>,
     log: Logger,
 }
 
@@ -131,7 +132,7 @@
             Message::News(news) => self.host.news(&news, false),
             Message::NewsFailed => {
                 self.host.news_failed();
-                self.watch_at = self.pushed.then(|| Instant::now() + self.watch_again);
+                self.watch_at = self.pushed.then(|| Instant::now() + self.live.get().transport.watch_again);
             }
             Message::StopBy(at) => {
                 self.stopping = true;
@@ -180,6 +181,18 @@
     log: Logger,
     counters: Rc<Counters>,
     stop: impl Future<Output = ()>,
+) -> std::io::Result<()> {
+    let (_nobody, reloads) = mpsc::channel(1);
+    serve_reloading(config, reloads, log, counters, stop).await
+}
+
+/// The same, with new configurations taken while it serves.
+pub async fn serve_reloading(
+    config: Config,
+    reloads: Reloads,
+    log: Logger,
+    counters: Rc<Counters>,
+    stop: impl Future<Output = ()>,
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(config.listen).await?;
     let listens_at = listener.local_addr()?;
@@ -188,7 +201,6 @@
     let (to_core, inbox) = mpsc::channel(MOST_MESSAGES);
     let (ask_discovery, asked) = mpsc::channel(1);
     let (phase, phases) = watch::channel(Phase::Serving);
-    let transport = Rc::new(config.transport.clone());
     let ready = Rc::new(Cell::new(false));
     let pushed = !config.deployment.settings.must_ask;
     let may_cancel = config.deployment.settings.limits.cancel;
@@ -196,10 +208,14 @@
     let deployment = Rc::new(config.deployment.clone());
     let mut host = Host::new(deployment, counters.clone(), config.seed, epoch, Micros(0));
     host.news(&config.known, true);
+    let moved = Rc::new(Notify::new());
+    let (source, index) = (config.discovery, config.known.index);
+    let live = Rc::new(Live::new(config));
     let discovery = Discovery {
-        address: config.discovery,
-        index: config.known.index,
-        transport: transport.clone(),
+        live: live.clone(),
+        moved: moved.clone(),
+        source,
+        index,
         counters: counters.clone(),
         to_core: to_core.clone(),
         log: log.clone(),
@@ -207,7 +223,7 @@
     tokio::task::spawn_local(discovery.run(asked));
     let core = Core {
         host,
-        pools: Pools::new(transport.clone(), counters.clone(), log.clone(), to_core.clone(), may_cancel),
+        pools: Pools::new(live.clone(), counters.clone(), log.clone(), to_core.clone(), may_cancel),
         start,
         inbox,
         ask_discovery,
@@ -217,12 +233,12 @@
         stopping: false,
         watch_at: pushed.then_some(start),
         pushed,
-        watch_again: transport.watch_again,
+        live: live.clone(),
         log: log.clone(),
     };
     let core = tokio::task::spawn_local(core.run());
     let front = Rc::new(Front {
-        config: Rc::new(config),
+        live: live.clone(),
         counters: counters.clone(),
         to_core: to_core.clone(),
         log: log.clone(),
@@ -233,8 +249,11 @@
         tokens: Cell::new(0),
     });
     let listening = tokio::task::spawn_local(listen(front.clone(), listener, phases));
-    info!(log, "serving"; "listen" => %listens_at, "discovery" => %front.config.discovery,
-        "clients" => transport.client_connections, "servers" => transport.server_connections);
+    tokio::task::spawn_local(follow(reloads, live.clone(), moved, counters.clone(), log.clone()));
+    let now = live.get();
+    info!(log, "serving"; "listen" => %listens_at, "discovery" => %now.discovery,
+        "clients" => now.transport.client_connections, "servers" => now.transport.server_connections);
+    drop(now);
 
     tokio::select! {
         () = stop => {}
@@ -242,6 +261,7 @@
         _ = core => return Err(std::io::Error::other("the core loop has ended")),
     }
     let told = Instant::now();
+    let transport = live.get().transport.clone();
     let stop_by = told + transport.stop_within;
     info!(log, "stopping"; "open" => counters.connections.clients_open.get());
     // Whoever listens to these is gone only if it has broken down; then there is nothing to hand over.
@@ -258,15 +278,9 @@
     Ok(())
 }
 
-/// The whole program: configuration from the environment, log on standard output, SIGTERM to stop.
+/// The whole program: configuration from the environment, log on standard output, SIGHUP to read the
+/// configuration anew, SIGTERM to stop.
 pub fn main_from_environment() -> ExitCode {
-    let config = match Config::from_environment() {
-        Ok(config) => config,
-        Err(fault) => {
-            eprintln!("pinetrestle-node: configuration: {fault}");
-            return ExitCode::from(2);
-        }
-    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().max_blocking_threads(1).build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
@@ -276,25 +290,39 @@
         }
     };
     let local = LocalSet::new();
-    let code = local.block_on(&runtime, run(config));
+    let code = local.block_on(&runtime, run());
     // A reader of the log that has stalled must not hold up the end.
     runtime.shutdown_background();
     code
 }
 
-async fn run(config: Config) -> ExitCode {
+async fn run() -> ExitCode {
+    // Before anything else: no SIGHUP may find the program without it.
+    let hang_ups = hang_ups();
+    let config = match Config::from_environment() {
+        Ok(config) => config,
+        Err(fault) => {
+            eprintln!("pinetrestle-node: configuration: {fault}");
+            return ExitCode::from(2);
+        }
+    };
     let counters = Rc::new(Counters::new(&config.deployment.classes));
     let (log, writer) = logger(&config.name);
     let listen = config.listen;
     let end_of_log = Rc::new(Notify::new());
     let writing = tokio::task::spawn_local(writer.run(counters.clone(), end_of_log.clone()));
+    let (files, reloads) = mpsc::channel(1);
+    match hang_ups {
+        Ok(hang_ups) => drop(tokio::task::spawn_local(at_signals(hang_ups, files))),
+        Err(error) => warn!(log, "no reload"; "error" => %error),
+    }
     let stop = async {
         // Without signals the front node serves until it is killed.
         if told_to_stop().await.is_err() {
             std::future::pending().await
         }
     };
-    let code = match serve(config, log.clone(), counters.clone(), stop).await {
+    let code = match serve_reloading(config, reloads, log.clone(), counters.clone(), stop).await {
         Ok(()) => {
             info!(log, "counters"; "at" => "exit", "all" => counters.report().to_string());
             ExitCode::SUCCESS
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Connections to index servers: which one carries a call, and the task that drives each.
 
-use crate::config::Transport;
+use crate::config::Live;
 use crate::counters::Counters;
 use crate::host::Peer;
 use crate::reasons::Reason;
@@ -39,7 +39,7 @@
 
 /// The connections of all replicas.
 pub struct Pools {
-    transport: Rc<Transport>,
+    live: Rc<Live>,
     counters: Rc<Counters>,
     log: Logger,
     to_core: mpsc::Sender<Message>,
@@ -54,7 +54,7 @@
 impl Pools {
     /// No connections yet.
     pub fn new(
-        transport: Rc<Transport>,
+        live: Rc<Live>,
         counters: Rc<Counters>,
         log: Logger,
         to_core: mpsc::Sender<Message>,
@@ -62,7 +62,7 @@
     ) -> Pools {
         let (by_replica, carriers) = (HashMap::new(), HashMap::new());
         let scratch = Rc::new(RefCell::new(vec![0; READ]));
-        Pools { transport, counters, log, to_core, by_replica, carriers, scratch, may_cancel, next: 0 }
+        Pools { live, counters, log, to_core, by_replica, carriers, scratch, may_cancel, next: 0 }
     }
 
     /// Sends a call and returns the attempts that found no connection.
@@ -93,7 +93,8 @@
             conn.shut.set(true);
             conn.bell.notify_one();
         }
-        let (most, backlog) = (self.transport.streams, self.transport.server_backlog);
+        let config = self.live.get();
+        let (most, backlog) = (config.transport.streams, config.transport.server_backlog);
         let fits = |conn: &&Rc<Conn>| {
             let link = conn.link.borrow();
             let room = link.open() == 0 || link.open() + parts.len() <= most;
@@ -106,7 +107,7 @@
             return Some(conn.clone());
         }
         let address: std::net::SocketAddr = peer.address.parse().ok()?;
-        if self.counters.connections.servers_open.get() >= self.transport.server_connections as u64 {
+        if self.counters.connections.servers_open.get() >= config.transport.server_connections as u64 {
             return None;
         }
         self.next += 1;
@@ -125,7 +126,7 @@
         self.counters.connections.servers_open.one();
         let driver = Driver {
             conn: conn.clone(),
-            transport: self.transport.clone(),
+            live: self.live.clone(),
             counters: self.counters.clone(),
             to_core: self.to_core.clone(),
             log: self.log.clone(),
@@ -164,7 +165,7 @@
 /// Drives one connection: reads and writes, nothing else.
 struct Driver {
     conn: Rc<Conn>,
-    transport: Rc<Transport>,
+    live: Rc<Live>,
     counters: Rc<Counters>,
     to_core: mpsc::Sender<Message>,
     log: Logger,
@@ -176,7 +177,7 @@
     async fn run(self, address: std::net::SocketAddr) {
         let begun = Instant::now();
         let (mut bytes_in, mut bytes_out) = (0, 0);
-        let reason = match timeout(self.transport.connect, TcpStream::connect(address)).await {
+        let reason = match timeout(self.live.get().transport.connect, TcpStream::connect(address)).await {
             Err(_) => Reason::ConnectTimeout,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reason::ConnectRefused,
             Ok(Err(_)) => Reason::ConnectFailed,
@@ -215,7 +216,8 @@
             } else {
                 Interest::READABLE
             };
-            let rest = self.transport.server_idle.saturating_sub(last.elapsed());
+            let server_idle = self.live.get().transport.server_idle;
+            let rest = server_idle.saturating_sub(last.elapsed());
             tokio::select! {
                 ready = stream.ready(wants) => {
                     if let Err(error) = ready {
@@ -225,7 +227,7 @@
                 () = self.conn.bell.notified() => continue,
                 () = tokio::time::sleep(rest.max(Duration::from_millis(1))), if idle => {
                     let still = link.borrow().open() == 0 && link.borrow().waiting() == 0;
-                    if still && last.elapsed() >= self.transport.server_idle {
+                    if still && last.elapsed() >= server_idle {
                         self.conn.shut.set(true); // before anything else runs: no call slips in
                         return Reason::Idle;
                     }
--- a/crates/node/tests/common/stand_ins.rs
+++ b/crates/node/tests/common/stand_ins.rs
@@ -1,4 +1,5 @@
 //! Small stand-ins for the outside systems, and the program itself. They wait for conditions with a bound.
+#![allow(dead_code)]
 
 use serde_json::{json, Value};
 use std::collections::HashMap;
@@ -63,7 +64,11 @@
 
 impl Discovery {
     pub fn start(entries: Vec<Value>) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Discovery::start_at("127.0.0.1:0", entries)
+    }
+
+    pub fn start_at(address: &str, entries: Vec<Value>) -> Discovery {
+        let listener = TcpListener::bind(address).expect("a port");
         let address = listener.local_addr().expect("an address");
         let told = Told { telling: Telling::Well, index: 1, entries, watches: 0, drops: 0 };
         let told = Arc::new(Mutex::new(told));
@@ -332,7 +337,7 @@
     child: Child,
     pub address: SocketAddr,
     lines: Arc<Mutex<Vec<String>>>,
-    _file: tempfile::TempPath,
+    file: tempfile::TempPath,
 }
 
 /// A program that can't start: its exit code and what it said.
@@ -396,7 +401,7 @@
             address = line.and_then(|line| word(line, "listen")).and_then(|text| text.parse().ok());
             address.is_some()
         });
-        Program { child, address: address.expect("an address"), lines, _file: file }
+        Program { child, address: address.expect("an address"), lines, file }
     }
 
     pub fn started(config: &Value) -> Program {
@@ -435,9 +440,27 @@
         line.split_whitespace().nth(1).and_then(|word| word.parse().ok()).expect("a number")
     }
 
-    pub fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts another text in the place of the configuration file, or nothing, and says so.
+    pub fn reload(&self, text: Option<&str>) {
+        match text {
+            Some(text) => std::fs::write(&self.file, text).expect("written"),
+            None => std::fs::remove_file(&self.file).expect("removed"),
+        }
+        self.signal("-HUP");
+    }
+
+    /// How many lines of the log hold all of these words.
+    pub fn count(&self, words: &[&str]) -> usize {
+        self.lines().iter().filter(|line| words.iter().all(|word| line.contains(word))).count()
     }
 
     pub fn kill(&mut self) {
