--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -158,6 +158,9 @@
     fn take(&mut self, now: Micros, span: Micros, id: &str) -> bool {
         if now - self.since >= span || self.young.len() >= MOST_USED {
             self.old = std::mem::take(&mut self.young);
+            if now - self.since >= span.times(2.0) {
+                self.old.clear();
+            }
             self.since = now;
         }
         let hash = self.hasher.hash_one(id);
--- a/crates/node/tests/common/stand_ins.rs
+++ b/crates/node/tests/common/stand_ins.rs
@@ -178,6 +178,14 @@
     Confused,
     /// Ends the connection in the middle of an answer.
     EndingWithin,
+    /// Stops in the middle of an answer and stays.
+    Stalling,
+    /// Says every answer twice.
+    Doubling,
+    /// Answers well and adds noise.
+    AddingNoise,
+    /// Answers well and ends the connection.
+    EndingAfterAnswer,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -300,6 +308,19 @@
                     writer.shutdown(std::net::Shutdown::Both).ok()?;
                     return None;
                 }
+                Doing::Stalling => {
+                    let mut bytes = say("S", true);
+                    bytes.truncate(bytes.len() - 3);
+                    bytes
+                }
+                Doing::Doubling => say("S", true).repeat(2),
+                Doing::AddingNoise => [say("S", true), vec![0xff; 64]].concat(),
+                Doing::EndingAfterAnswer => {
+                    let mut writer = writer.lock().expect("no panic");
+                    writer.write_all(&say("S", true)).ok()?;
+                    writer.shutdown(std::net::Shutdown::Both).ok()?;
+                    return None;
+                }
                 Doing::Babbling => b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec(),
                 Doing::Confused => frame(b'5', b"nobody.1 S 1 -\nv"),
                 Doing::EndingWithin => {
@@ -567,6 +588,11 @@
         self.read()
     }
 
+    /// Writes as far as the front node lets it.
+    pub fn try_write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.get_mut().write_all(bytes).is_ok()
+    }
+
     /// Whether the front node has ended the connection, waiting for it.
     pub fn is_ended(&mut self) -> bool {
         let mut byte = [0];
--- a/crates/node/tests/host.rs
+++ b/crates/node/tests/host.rs
@@ -421,3 +421,89 @@
         world.balanced();
     }
 }
+
+fn listed(n: u64, status: Status) -> Entry {
+    Entry {
+        name: format!("g{n}"),
+        address: format!("127.0.0.1:{}", 10_000 + n % 10_000),
+        cell: n as u32 % 3,
+        status,
+        weight: 1.0,
+        since_ms: 0,
+    }
+}
+
+#[test]
+fn a_day_of_ever_new_servers_and_queries_leaves_nothing_behind() {
+    let mut world = World::new();
+    let mut index = 1;
+    let mut news = |world: &mut World, whole: bool, entries: Vec<Entry>| {
+        index += 1;
+        world.host.news(&News { index, whole, entries }, false);
+        world.turn();
+    };
+    news(&mut world, true, (0..6).map(|n| listed(n, Status::Up)).collect());
+    let mut most = BTreeMap::new();
+    for round in 0..5000_u64 {
+        // One comes, one drains, one leaves; now and then the whole list is told.
+        let (old, fresh) = (round, round + 6);
+        news(&mut world, false, vec![listed(fresh, Status::Up), listed(old, Status::Draining)]);
+        world.ask(ALL, &[0, 1, 2]).expect("taken");
+        if round % 7 == 0 {
+            news(&mut world, true, (round + 1..round + 7).map(|n| listed(n, Status::Up)).collect());
+        } else {
+            news(&mut world, false, vec![listed(old, Status::Removed)]);
+        }
+        for ticket in world.tickets() {
+            world.land(ticket, End::Served, 1, "v");
+        }
+        world.pass(100 * MS);
+        for (name, size) in world.host.sizes() {
+            let entry = most.entry(name).or_insert((0, 0));
+            *if round < 2500 { &mut entry.0 } else { &mut entry.1 } =
+                size.max(if round < 2500 { entry.0 } else { entry.1 });
+        }
+    }
+    world.balanced();
+    for (name, (first, second)) in most {
+        assert!(second <= first.max(40), "{name}: {first} in the first half, {second} in the second");
+        assert!(second < 400, "{name}: {second}");
+    }
+}
+
+#[test]
+fn a_server_that_comes_back_under_its_name_is_the_same_and_one_unheard_of_may_leave() {
+    let mut world = World::new();
+    let replica = |world: &mut World| {
+        world.ask(ALL, &[0]).expect("taken");
+        let (_, (replica, _)) = world.out.pop_last().expect("it is out");
+        replica
+    };
+    let only = |status| vec![Entry { cell: 0, ..listed(0, status) }];
+    world.host.news(&News { index: 2, whole: true, entries: only(Status::Up) }, false);
+    world.turn();
+    let first = replica(&mut world);
+    let gone = vec![listed(0, Status::Removed), listed(77, Status::Removed)];
+    world.host.news(&News { index: 3, whole: false, entries: gone }, false);
+    world.turn();
+    assert!(world.host.peer_in_service(first).is_none());
+    world.host.news(&News { index: 4, whole: false, entries: only(Status::Up) }, false);
+    world.turn();
+    assert_eq!(replica(&mut world), first);
+}
+
+#[test]
+fn an_id_is_good_for_one_query_also_after_its_answer() {
+    let mut world = World::new();
+    world.ask(ALL, &[0]).expect("taken");
+    let ticket = world.tickets()[0];
+    world.land(ticket, End::Served, 1, "v");
+    assert_eq!(world.replies.len(), 1);
+    world.asked -= 1;
+    assert_eq!(world.ask(ALL, &[0]), Err(NotTaken::SameId));
+    assert!(world.out.is_empty(), "nothing is sent on for it");
+    // Spans later it is forgotten.
+    world.pass(10_000 * MS);
+    world.asked -= 1;
+    assert!(world.ask(ALL, &[0]).is_ok());
+}
--- /dev/null
+++ b/crates/node/tests/rough.rs
@@ -0,0 +1,234 @@
+//! The program among clients and index servers that misbehave, beside usual ones that are served.
+
+#[path = "common/stand_ins.rs"]
+mod stand_ins;
+
+mod common;
+
+use common::{config_json, entry, list};
+use serde_json::{json, Value};
+use stand_ins::{eventually, query, Client, Discovery, Doing, Program, Server};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a client that misbehaves is owed an error or a close within, from its connecting.
+const OWED: Duration = Duration::from_secs(3);
+
+fn entries(servers: &[Server]) -> Vec<Value> {
+    let each = servers.iter().enumerate();
+    each.map(|(n, server)| entry(&format!("s{n}"), &server.address.to_string(), n as u32 % 3)).collect()
+}
+
+struct Stage {
+    servers: Vec<Server>,
+    discovery: Discovery,
+    program: Program,
+}
+
+impl Stage {
+    fn with(change: impl FnOnce(&mut Value)) -> Stage {
+        let servers: Vec<Server> = (0..6).map(|_| Server::start(Doing::Serving)).collect();
+        let discovery = Discovery::start(entries(&servers));
+        let known = list(1, &entries(&servers));
+        let mut config = config_json("127.0.0.1:0", &discovery.address.to_string(), &known);
+        change(&mut config);
+        let program = Program::started(&config);
+        Stage { servers, discovery, program }
+    }
+
+    fn new() -> Stage {
+        Stage::with(|_| {})
+    }
+
+    fn client(&self) -> Client {
+        Client::to(self.program.address)
+    }
+
+    fn serves(&self) {
+        let answer = self.client().send(&query("all", &[0, 1, 2], 2000).1);
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    fn seen(&self) -> usize {
+        self.servers.iter().map(|server| server.seen().len()).sum()
+    }
+}
+
+#[test]
+fn who_says_nothing_or_drips_is_let_go_in_time() {
+    let stage = Stage::new();
+    let begun = Instant::now();
+    let mut silent = stage.client();
+    let mut half = stage.client();
+    half.write(b"POST /all HTTP/1.1\r\nContent-Length: 100\r\n\r\n{");
+    let mut drip = stage.client();
+    // Never 2 s without a byte, and never an end.
+    while drip.try_write(b"POST /".get(..1).expect("a byte")) && begun.elapsed() < OWED {
+        thread::sleep(Duration::from_millis(50));
+        stage.serves();
+    }
+    assert!(begun.elapsed() < OWED, "dripping keeps nobody connected");
+    assert!(silent.is_ended());
+    assert_eq!(half.read().status, 408);
+    assert!(half.is_ended() && begun.elapsed() < OWED, "{:?}", begun.elapsed());
+    for reason in ["never_asked", "request_timeout"] {
+        eventually(reason, || stage.program.reasons("client").contains(&reason.to_owned()));
+    }
+}
+
+#[test]
+fn a_connection_that_has_asked_once_may_rest() {
+    let stage = Stage::new();
+    let mut client = stage.client();
+    assert_eq!(client.send(&query("all", &[0], 2000).1).status, 200);
+    thread::sleep(Duration::from_millis(2300));
+    assert_eq!(client.send(&query("all", &[0], 2000).1).status, 200);
+}
+
+#[test]
+fn sixty_megabytes_are_refused_from_their_head_and_cost_no_memory() {
+    let stage = Stage::new();
+    for head in ["Content-Length: 60000000", "Transfer-Encoding: chunked"] {
+        let begun = Instant::now();
+        let mut client = stage.client();
+        client.write(format!("POST /all HTTP/1.1\r\n{head}\r\n\r\n").as_bytes());
+        let chunked = head.starts_with('T');
+        let block = [&b"10000\r\n"[..], &[b' '; 0x10000], b"\r\n"].concat();
+        let piece = if chunked { &block[..] } else { &block[7..0x10000] };
+        let wrote = (0..900).take_while(|_| client.try_write(piece)).count();
+        assert!(wrote < 900, "it is not read to its end");
+        assert!(client.try_read().is_none_or(|answer| answer.status == 413));
+        assert!(begun.elapsed() < OWED, "{:?}", begun.elapsed());
+    }
+    eventually("the log says so", || {
+        stage.program.reasons("client").iter().filter(|reason| *reason == "body_too_long").count() == 2
+    });
+    assert!(stage.program.peak_kb() < 32 * 1024, "{} kB", stage.program.peak_kb());
+    stage.serves();
+}
+
+#[test]
+fn a_request_hidden_in_a_body_is_never_read() {
+    let stage = Stage::new();
+    let hidden = query("all", &[0], 2000).1;
+    for fields in [
+        format!("Content-Length: {}\r\nTransfer-Encoding: chunked", 5 + hidden.len()),
+        format!("Transfer-Encoding: chunked\r\nContent-Length: {}", 5 + hidden.len()),
+        "Content-Length: 5\r\nContent-Length: 6".to_owned(),
+        "Transfer-Encoding: xchunked".to_owned(),
+    ] {
+        let mut client = stage.client();
+        client.write(format!("POST /all HTTP/1.1\r\n{fields}\r\n\r\n0\r\n\r\n{hidden}").as_bytes());
+        let answer = client.read();
+        assert!((400..600).contains(&answer.status), "{answer:?}");
+        assert!(client.is_ended());
+    }
+    assert_eq!(stage.seen(), 0);
+    stage.serves();
+}
+
+#[test]
+fn fields_that_can_be_read_in_two_ways_are_turned_down_and_sixteen_of_them_end_it() {
+    let stage = Stage::new();
+    let good = query("all", &[0], 2000).1;
+    let cases = [
+        ("X-Qos: all", "X-Qos: all\r\nX-Qos: any"),
+        ("X-Trace-Id: ", "X-Trace-Id: 0\r\nX-Trace-Id: "),
+        ("X-Trace-Id: ", "X-Trace-Id: q.3.phase2"),
+        ("X-Expires-In-Ms: 2000", "X-Expires-In-Ms: 2000\r\nX-Expires-In-Ms: 9"),
+        ("X-Expires-In-Ms: 2000", "X-Expires-In-Ms: -1"),
+        ("X-Customer: north", "X-Customer: north\r\nX-Customer: south"),
+        ("POST /all", "POST /elsewhere"),
+        ("POST /all", "POST /any"),
+    ];
+    let mut client = stage.client();
+    for (from, to) in cases.iter().chain(&cases) {
+        assert!(good.contains(from));
+        let answer = client.send(&good.replacen(from, to, 1));
+        assert!((400..500).contains(&answer.status), "{to}: {answer:?}");
+    }
+    assert!(client.is_ended(), "whoever goes on like this has to connect anew");
+    assert_eq!(stage.seen(), 0);
+    eventually("the log says so", || stage.program.reasons("client").contains(&"too_many_bad".to_owned()));
+}
+
+#[test]
+fn a_flood_of_silent_connections_makes_room_before_those_that_ask() {
+    let stage = Stage::with(|config| config["transport"] = json!({"client_connections": 40}));
+    let mut usual = stage.client();
+    assert_eq!(usual.send(&query("all", &[0], 2000).1).status, 200);
+    let mut crowd = Vec::new();
+    for round in 0..200 {
+        crowd.push(stage.client());
+        if round % 10 == 0 {
+            assert_eq!(usual.send(&query("all", &[1], 2000).1).status, 200, "round {round}");
+            stage.serves();
+        }
+    }
+    let stats = stage.program.stats();
+    assert!(stats["connections"]["clients_open"].as_u64() <= Some(40), "{stats}");
+    assert_eq!(usual.send(&query("all", &[2], 2000).1).status, 200, "it was kept through all of it");
+}
+
+#[test]
+fn an_id_used_again_just_after_its_answer_sends_nothing_on() {
+    let stage = Stage::new();
+    let text = query("all", &[0, 1], 2000).1;
+    assert_eq!(stage.client().send(&text).status, 200);
+    let before = stage.seen();
+    assert_eq!(stage.client().send(&text).status, 409);
+    assert_eq!(stage.seen(), before);
+}
+
+#[test]
+fn a_server_that_stops_within_an_answer_is_left_long_before_the_query_s_end() {
+    let stage = Stage::new();
+    stage.servers[0].doing(Doing::Stalling);
+    let mut client = stage.client();
+    eventually("it is left", || {
+        let begun = Instant::now();
+        let answer = client.send(&query("all", &[0], 3000).1);
+        assert_eq!(answer.status, 200, "another holder brings the value: {answer:?}");
+        assert!(begun.elapsed() < Duration::from_millis(1500), "{:?}", begun.elapsed());
+        stage.program.reasons("index_server").contains(&"stalled_within_frame".to_owned())
+    });
+    assert!(stage.program.stats()["attempts"]["reset"].as_u64() >= Some(1), "it may have run");
+}
+
+#[test]
+fn what_comes_beside_a_good_answer_costs_nobody_else_anything() {
+    for doing in [Doing::Doubling, Doing::AddingNoise, Doing::EndingAfterAnswer] {
+        let stage = Stage::new();
+        stage.servers.iter().for_each(|server| server.doing(doing.clone()));
+        let mut client = stage.client();
+        for _ in 0..30 {
+            let (id, text) = query("all", &[0, 1, 2], 2000);
+            let answer = client.send(&text);
+            assert_eq!(answer.status, 200, "{doing:?}: {answer:?}");
+            for item in answer.json()["items"].as_array().expect("items") {
+                assert_eq!(item["body"], format!("value of {id}.{}", item["slice"]), "{doing:?}");
+            }
+        }
+        if doing == Doing::Doubling {
+            let stats = stage.program.stats();
+            assert!(stats["attempts"]["late_answers"].as_u64() >= Some(80), "{stats}");
+            assert!(
+                stats["connections"]["servers_begun"].as_u64() <= Some(6),
+                "none was ended over it: {stats}"
+            );
+        }
+    }
+}
+
+#[test]
+fn connections_to_a_server_that_left_the_list_end() {
+    let stage = Stage::new();
+    for _ in 0..10 {
+        stage.serves();
+    }
+    let open = || stage.program.stats()["connections"]["servers_open"].as_u64();
+    assert!(open() > Some(3));
+    stage.discovery.tell(entries(&stage.servers[..3]));
+    eventually("only those listed are kept", || open() <= Some(3));
+    stage.serves();
+}
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -122,6 +122,8 @@
     unwritten: HashSet<Ticket>,
     given_up: Latest,
     answered: Latest,
+    /// It has brought an answer.
+    served: bool,
     forgot: bool,
     /// Answers that came after their attempt had ended.
     pub late: u64,
@@ -228,6 +230,7 @@
                 self.open.remove(&id);
                 self.names.remove(&ticket);
                 self.answered.keep(&id, MOST_ANSWERED);
+                self.served = true;
                 return Ok(Some(Landed { ticket, end, score, value }));
             }
             if !self.given_up.drop(&id) && !self.answered.has(&id) && !self.forgot {
@@ -254,7 +257,7 @@
         let skip = usize::from(self.begun > 0);
         let unsent =
             self.out.drain(..).skip(skip).map(|frame| frame.starts).filter(|parts| !parts.is_empty());
-        let unsent: Vec<Vec<Sending>> = if self.frames.whole > 0 { unsent.collect() } else { Vec::new() };
+        let unsent: Vec<Vec<Sending>> = if self.served { unsent.collect() } else { Vec::new() };
         for part in unsent.iter().flatten() {
             self.open.remove(&part.id);
         }
--- a/crates/protocol/tests/link.rs
+++ b/crates/protocol/tests/link.rs
@@ -196,3 +196,127 @@
     assert_eq!(link.next_landed(), Ok(None));
     assert_eq!((link.late, link.open()), (1, 0));
 }
+
+/// Feeds what an index server says in every split; the end is the same in each.
+fn said(bytes: &[u8]) -> (Vec<String>, Result<(), BadFrame>) {
+    let read = |pieces: &[Vec<u8>]| {
+        let mut link = open_link(&["q.3", "q.4", "q.5"]);
+        let mut values = Vec::new();
+        for piece in pieces {
+            link.feed(piece);
+            loop {
+                match link.next_landed() {
+                    Ok(Some(landed)) => values.push(landed.value),
+                    Ok(None) => break,
+                    Err(error) => return (values, Err(error)),
+                }
+            }
+        }
+        (values, Ok(()))
+    };
+    let all: Vec<_> = splits(bytes).iter().map(|pieces| read(pieces)).collect();
+    assert!(all.iter().all(|one| *one == all[0]), "the split matters: {all:?}");
+    all[0].clone()
+}
+
+fn raw(length: u32, rest: &[u8]) -> Vec<u8> {
+    [&length.to_be_bytes()[..], rest].concat()
+}
+
+#[test]
+fn spoilt_answers_are_turned_down_and_none_of_them_is_a_value() {
+    let good = frame(b'5', "q.3 S 1 -\nvalue");
+    let next = frame(b'5', "q.4 S 1 -\nother");
+    // A length that swallows the frame after it, one that ends within the value, one of gigabytes.
+    let swallowing = raw(good.len() as u32 - 4 + next.len() as u32, &[&good[4..], &next].concat());
+    let cases = [
+        (swallowing, BadFrame::Value),
+        (raw(3_000_000_000, b"5q.3 S 1 -\nvalue"), BadFrame::Length),
+        (raw(0, b""), BadFrame::Length),
+        (raw(200_000, &[&b"5q.3 S 1 "[..], &[b'r'; 5000]].concat()), BadFrame::Line),
+        (raw(200_000, b"!noise"), BadFrame::Letter),
+        (frame(b'5', "q.3 S 1\nvalue"), BadFrame::Line),
+        (frame(b'5', "q.3 S 1 - value"), BadFrame::Line),
+        (frame(b'5', "q.3 Q 1 -\nvalue"), BadFrame::Line),
+        (frame(b'5', "q.3 S one -\nvalue"), BadFrame::Line),
+        (frame(b'5', "q.9 S 1 -\nvalue"), BadFrame::Unknown),
+        (frame(b'5', "q.3.phase2 S 1 -\nvalue"), BadFrame::Unknown),
+        (frame(b'5', "q.3 S 1 -\nval\0ue"), BadFrame::Value),
+    ];
+    for (bytes, wanted) in cases {
+        assert_eq!(said(&bytes), (Vec::new(), Err(wanted)), "for {:?}", String::from_utf8_lossy(&bytes));
+    }
+}
+
+#[test]
+fn good_answers_that_bring_more_than_theirs_keep_their_value() {
+    let good = frame(b'5', "q.3 S 1 -\nvalue");
+    let second = [good.clone(), good.clone(), frame(b'5', "q.4 S 1 -\nother")].concat();
+    assert_eq!(said(&second), (vec!["value".into(), "other".into()], Ok(())), "a second copy is passed over");
+    let noise = [&good[..], b"\xff\xfe\xfd\xfc noise"].concat();
+    assert_eq!(said(&noise), (vec!["value".into()], Err(BadFrame::Length)));
+    let report = [&raw(20, b"5q.3 S 1 \xff\xfe =,\nvalue")[..]].concat();
+    assert_eq!(said(&report), (vec!["value".into()], Ok(())), "a report that can't be read");
+}
+
+#[test]
+fn a_second_copy_is_not_taken_for_the_answer_to_a_later_attempt() {
+    let mut link = open_link(&["q.3"]);
+    link.feed(&frame(b'5', "q.3 E 0 -\n"));
+    assert!(link.next_landed().expect("a good frame").is_some());
+    assert!(!link.is_free("q.3"), "the part may go out elsewhere");
+    link.feed(&frame(b'5', "q.3 E 0 -\n"));
+    assert_eq!((link.next_landed(), link.late), (Ok(None), 1));
+}
+
+#[test]
+fn nobody_answers_what_was_not_sent() {
+    let mut link = Link::default();
+    link.call(vec![sending(1, "q.3")]);
+    link.feed(&frame(b'5', "q.3 S 1 -\nvalue"));
+    assert_eq!(link.next_landed(), Err(BadFrame::Unknown));
+    assert_eq!(link.lost().out, vec![(1, false)], "the attempt is still accounted for: it never ran");
+}
+
+#[test]
+fn a_call_that_waits_goes_out_without_the_parts_given_up() {
+    let mut link = Link::default();
+    link.call(vec![sending(1, "a.3")]);
+    write(&mut link, 5); // this one has begun
+    link.call(vec![sending(2, "q.3"), sending(3, "q.4")]);
+    link.give_up(2, true);
+    let rest =
+        [&frame(b'1', "a.3 3 d=240 8\nc41e77d0")[5..], &frame(b'1', "q.4 3 d=240 8\nc41e77d0")].concat();
+    assert_eq!(link.waiting(), rest.len());
+    link.call(vec![sending(4, "q.5")]);
+    link.give_up(4, true);
+    assert_eq!(write(&mut link, usize::MAX), rest, "nothing of what was given up, nor of giving it up");
+    assert_eq!((link.open(), link.waiting()), (2, 0));
+}
+
+#[test]
+fn calls_not_begun_are_handed_back_where_the_connection_had_served() {
+    for served in [false, true] {
+        let mut link = open_link(&["q.1"]);
+        if served {
+            link.feed(&frame(b'5', "q.1 S 1 -\nvalue"));
+            assert!(link.next_landed().expect("a good frame").is_some());
+        }
+        link.call(vec![sending(7, "q.7")]);
+        write(&mut link, 5);
+        link.call(vec![sending(8, "q.8"), sending(9, "q.9")]);
+        let lost = link.lost();
+        let mut out = vec![(7, false)];
+        if served {
+            assert_eq!(lost.unsent, vec![vec![sending(8, "q.8"), sending(9, "q.9")]]);
+        } else {
+            assert!(
+                lost.unsent.is_empty(),
+                "one that never served may be down: its server is told as failing"
+            );
+            out.extend([(8, false), (9, false)]);
+            out.insert(0, (1, true));
+        }
+        assert_eq!(lost.out, out);
+    }
+}
--- a/crates/protocol/tests/requests.rs
+++ b/crates/protocol/tests/requests.rs
@@ -4,7 +4,7 @@
 
 use common::{splits, Numbers};
 use pinetrestle_protocol::head::HttpError;
-use pinetrestle_protocol::requests::{answer_head, Progress, Requests};
+use pinetrestle_protocol::requests::{answer_head, Progress, Requests, Unclear};
 use pinetrestle_protocol::{MOST_BODY, MOST_HEAD};
 
 /// What a request says, apart from the buffer it lies in.
@@ -90,7 +90,7 @@
 
 #[test]
 fn malformed_heads_are_named() {
-    let cases: [(&[u8], HttpError); 14] = [
+    let cases: [(&[u8], HttpError); 24] = [
         (b"\x16\x03\x01\x02\x00\r\n\r\n", HttpError::BadStart),
         (b"GET\r\n\r\n", HttpError::BadStart),
         (b"get / HTTP/1.1\r\n\r\n", HttpError::BadStart),
@@ -105,6 +105,17 @@
         (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", HttpError::BadLength),
         (b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", HttpError::BadCoding),
         (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", HttpError::BadChunk),
+        // What may hide another request in its body.
+        (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", HttpError::BadLength),
+        (b"POST / HTTP/1.1\r\ntransfer-encoding: Chunked\r\ncontent-length: 0\r\n\r\n", HttpError::BadLength),
+        (b"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", HttpError::BadLength),
+        (b"POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\n", HttpError::BadLength),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked, identity\r\n\r\n", HttpError::BadCoding),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n", HttpError::BadField),
+        (b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", HttpError::BadCoding),
+        (b"POST / HTTP/1.1\r\nA: b\nTransfer-Encoding: chunked\r\n\r\n", HttpError::BadField),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n 3\r\nabc\r\n", HttpError::BadChunk),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;a\rb\r\nabc\r\n", HttpError::BadChunk),
     ];
     for (bytes, wanted) in cases {
         assert_eq!(error(bytes), wanted, "for {:?}", String::from_utf8_lossy(bytes));
@@ -173,3 +184,19 @@
     let head = String::from_utf8(answer_head(200, 0, None, true)).expect("text");
     assert!(head.contains("Connection: close\r\n") && !head.contains("Retry-After"));
 }
+
+#[test]
+fn a_field_that_stands_there_twice_or_is_no_text_is_unclear() {
+    for head in ["X-Expires-In-Ms: 1\r\nx-expires-in-ms: 1", "X-Expires-In-Ms: \u{e9}"] {
+        let mut requests = Requests::default();
+        let mut bytes = format!("POST /q HTTP/1.1\r\n{head}\r\n\r\n").into_bytes();
+        if let Some(at) = bytes.iter().position(|byte| *byte == 0xc3) {
+            bytes.remove(at); // half a letter
+        }
+        requests.feed(&bytes);
+        assert_eq!(requests.progress(), Ok(Progress::Whole));
+        let request = requests.request().expect("it is there");
+        assert_eq!(request.field("X-Expires-In-Ms"), Err(Unclear));
+        assert_eq!(request.field("X-Other"), Ok(None));
+    }
+}
