Answered failures weigh half in room; newcomers are not crowded out; a request's age counts our pauses

A newcomer now has 50 ms. A beat every 10 ms shows such pauses; a request read after one may have come at its begin. Tests: who_has_just_come..., the_time_of_a_request_runs..., pulse::tests; the first two fail on the old text.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::config::Live;
 use crate::counters::Counters;
 use crate::host::{Ask, NotTaken, Reply};
+use crate::pulse::Pulse;
 use crate::reasons::Reason;
 use crate::run::Message;
 use crate::shutdown::{reached, Phase, Phases};
@@ -30,6 +31,12 @@
 /// Bytes that are read on after an answer that ends its connection; whoever sends more has had its answer.
 const MOST_AFTER: usize = 256 * 1024;
 
+/// A connection that came this lately is not crowded out: its first request may be on its way, or may wait to
+/// be read where many came at once.
+const NEWCOMER: Duration = Duration::from_millis(50);
+/// At the bound of connections, whether one can make room is looked at this often.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+
 /// The listener closes once no connection has waited for this long: what the kernel holds is taken first.
 const LAST_ACCEPT: Duration = Duration::from_millis(50);
 
@@ -47,12 +54,14 @@
     pub ready: Rc<Cell<bool>>,
     /// Where every connection reads to: a connection that rests holds no buffer of its own.
     pub scratch: RefCell<Vec<u8>>,
-    /// Rung when a connection on which nothing was ever asked should make room for another ...
-    pub crowded_by_silent: Notify,
-    /// ... and of these there are so many; where there are none, one between requests.
-    pub silent: Cell<u64>,
-    /// Rung when a connection between requests should make room for another.
-    pub crowded: Notify,
+    /// Connections that came just now and have asked nothing yet.
+    pub newcomers: Resting,
+    /// Connections on which nothing was asked for a while: the first that make room for others.
+    pub silent: Resting,
+    /// Connections between requests: the next.
+    pub resting: Resting,
+    /// Tells how long a request may have waited before it was read.
+    pub pulse: Rc<Pulse>,
     /// Rung when a connection has ended.
     pub ended: Notify,
     /// Numbers the queries of all connections.
@@ -66,14 +75,12 @@
     loop {
         let most = front.live.get().transport.client_connections as u64;
         if front.counters.connections.clients_open.get() >= most {
-            // A connection that has asked nothing makes room, else the one that has rested longest; where none
-            // rests, the next waits its turn. Those who rest are told in the order in which they began to.
-            if front.silent.get() > 0 {
-                front.crowded_by_silent.notify_one();
-            } else {
-                front.crowded.notify_one();
+            // A connection that has asked nothing for a while makes room; where none has, nor may have soon, the
+            // one that has rested longest; else the next waits its turn.
+            if !front.silent.make_room() && front.newcomers.count.get() == 0 {
+                front.resting.make_room();
             }
-            front.ended.notified().await;
+            let _ = timeout(LOOK_AGAIN, front.ended.notified()).await;
             continue;
         }
         let accepted = if begun_closing {
@@ -130,19 +137,41 @@
     }
 }
 
-/// Counts a connection among the silent ones for as long as it is there.
-struct Silent<'a>(&'a Cell<u64>);
+/// Connections that rest, in the order in which they began to.
+#[derive(Default)]
+pub struct Resting {
+    count: Cell<u64>,
+    bell: Notify,
+}
+
+/// One of them, for as long as it rests.
+struct Rests<'a>(&'a Resting);
 
-impl Silent<'_> {
-    fn begin(count: &Cell<u64>) -> Silent<'_> {
-        count.set(count.get() + 1);
-        Silent(count)
+impl Drop for Rests<'_> {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get().saturating_sub(1));
     }
 }
 
-impl Drop for Silent<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+impl Resting {
+    /// Asks the one that has rested longest to leave; false where none rests.
+    fn make_room(&self) -> bool {
+        let any = self.count.get() > 0;
+        if any {
+            self.bell.notify_one();
+        }
+        any
+    }
+
+    fn rest(&self) -> Rests<'_> {
+        self.count.set(self.count.get() + 1);
+        Rests(self)
+    }
+
+    /// Rests until asked to leave.
+    async fn asked_to_leave(&self) {
+        let _rests = self.rest();
+        self.bell.notified().await;
     }
 }
 
@@ -266,19 +295,28 @@
                         reached(&mut phases, Phase::Closing).await;
                         tokio::time::sleep_until(rests_since + grace).await;
                     };
-                    let (crowded, rest, reason) = match first {
-                        Some(until) => (&front.crowded_by_silent, until, Reason::NeverAsked),
-                        None => (&front.crowded, rests_since + transport.client_idle, Reason::Idle),
+                    let (crowd, from, rest, reason) = match first {
+                        Some(until) => (&front.silent, self.accepted + NEWCOMER, until, Reason::NeverAsked),
+                        None => {
+                            let rest = rests_since + transport.client_idle;
+                            (&front.resting, rests_since, rest, Reason::Idle)
+                        }
+                    };
+                    let crowded = async {
+                        if first.is_some() {
+                            let _new = front.newcomers.rest();
+                            tokio::time::sleep_until(from).await;
+                        }
+                        crowd.asked_to_leave().await;
                     };
-                    let _silent = first.map(|_| Silent::begin(&front.silent));
                     tokio::select! {
                         biased;
                         result = self.read() => {
                             result?;
-                            arrived = Some(Instant::now());
+                            arrived = Some(front.pulse.earliest());
                         }
                         () = closing => return Err(Reason::ShutdownBetween),
-                        () = crowded.notified() => return Err(Reason::MadeRoom),
+                        () = crowded => return Err(Reason::MadeRoom),
                         () = tokio::time::sleep_until(rest) => return Err(reason),
                     }
                 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod discovery;
 pub mod host;
 pub mod log;
+mod pulse;
 pub mod reasons;
 mod reload;
 mod run;
--- /dev/null
+++ b/crates/node/src/pulse.rs
@@ -0,0 +1,85 @@
+//! When this process last ran: after a pause, what is read may have waited in the kernel for all of it.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, Instant};
+
+/// Between two beats.
+const BEAT: Duration = Duration::from_millis(10);
+
+/// Beats as long as the process runs. A beat that comes late shows a pause.
+#[derive(Debug)]
+pub struct Pulse {
+    last: Cell<Instant>,
+    /// The latest pause: its begin and its end.
+    pause: Cell<(Instant, Instant)>,
+}
+
+impl Pulse {
+    /// The first beat.
+    pub fn begin(now: Instant) -> Pulse {
+        Pulse { last: Cell::new(now), pause: Cell::new((now, now)) }
+    }
+
+    /// One beat.
+    fn beat(&self, now: Instant) {
+        let last = self.last.replace(now);
+        if now - last >= 2 * BEAT {
+            self.pause.set((last, now));
+        }
+    }
+
+    /// The earliest moment at which what is read now may have come: now, or the begin of a pause that has
+    /// just ended, seen by a beat or not yet.
+    fn earliest_at(&self, now: Instant) -> Instant {
+        let (from, to) = self.pause.get();
+        if now - self.last.get() >= 2 * BEAT {
+            self.last.get()
+        } else if to > from && now - to < BEAT {
+            from
+        } else {
+            now
+        }
+    }
+
+    /// The same for this moment.
+    pub fn earliest(&self) -> Instant {
+        self.earliest_at(Instant::now())
+    }
+
+    /// Beats for ever.
+    pub async fn run(self: Rc<Pulse>) {
+        loop {
+            sleep(BEAT).await;
+            self.beat(Instant::now());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn after(begin: Instant, ms: u64) -> Instant {
+        begin + Duration::from_millis(ms)
+    }
+
+    #[test]
+    fn what_is_read_after_a_pause_may_have_come_at_its_begin() {
+        let begin = Instant::now();
+        let pulse = Pulse::begin(begin);
+        for beat in 1..=5 {
+            pulse.beat(after(begin, beat * 11));
+        }
+        let now = after(begin, 60);
+        assert_eq!(pulse.earliest_at(now), now, "it runs as it should");
+        // Nothing ran from 55 on; at 300 it goes on, and the reader may come before the beat or after it.
+        assert_eq!(pulse.earliest_at(after(begin, 300)), after(begin, 55));
+        pulse.beat(after(begin, 300));
+        assert_eq!(pulse.earliest_at(after(begin, 303)), after(begin, 55));
+        pulse.beat(after(begin, 311));
+        let later = after(begin, 312);
+        assert_eq!(pulse.earliest_at(later), later, "what was waiting has been read by then");
+    }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,11 +1,12 @@
 //! Puts the parts together: the core loop around the host, and start and end of the program.
 
-use crate::clients::{listen, Front, READ};
+use crate::clients::{listen, Front, Resting, READ};
 use crate::config::{Config, Live};
 use crate::counters::Counters;
 use crate::discovery::Discovery;
 use crate::host::{Ask, Host, NotTaken, Order, Reply};
 use crate::log::{logger, LAST_LINES};
+use crate::pulse::Pulse;
 use crate::reload::{at_signals, follow, hang_ups, Reloads};
 use crate::shutdown::{told_to_stop, Phase};
 use crate::upstream::{Conn, Pools};
@@ -247,6 +248,8 @@
         log: log.clone(),
     };
     let core = tokio::task::spawn_local(core.run());
+    let pulse = Rc::new(Pulse::begin(Instant::now()));
+    tokio::task::spawn_local(pulse.clone().run());
     let front = Rc::new(Front {
         live: live.clone(),
         counters: counters.clone(),
@@ -254,9 +257,10 @@
         log: log.clone(),
         ready,
         scratch: RefCell::new(vec![0; READ]),
-        crowded_by_silent: Notify::new(),
-        silent: Cell::new(0),
-        crowded: Notify::new(),
+        newcomers: Resting::default(),
+        silent: Resting::default(),
+        resting: Resting::default(),
+        pulse: pulse.clone(),
         ended: Notify::new(),
         tokens: Cell::new(0),
     });
--- a/crates/node/tests/common/stand_ins.rs
+++ b/crates/node/tests/common/stand_ins.rs
@@ -466,6 +466,15 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
+    /// Stops it where it is, as a machine that stalls does.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -170,6 +170,44 @@
     assert_eq!(usual.send(&query("all", &[2], 2000).1).status, 200, "it was kept through all of it");
 }
 
+#[test]
+fn who_has_just_come_is_not_crowded_out_before_its_request_is_read() {
+    let stage = Stage::with(|config| config["transport"] = json!({"client_connections": 20}));
+    for _ in 0..50 {
+        let texts: Vec<String> = (0..60).map(|_| query("all", &[0], 2000).1).collect();
+        // Three times as many connect as may be held, and their requests follow a moment later.
+        let begun = Instant::now();
+        let mut clients: Vec<Client> = texts.iter().map(|_| stage.client()).collect();
+        thread::sleep(Duration::from_millis(5));
+        let wrote = clients.iter_mut().zip(&texts).all(|(client, text)| client.try_write(text.as_bytes()));
+        let took = begun.elapsed();
+        // Served or declined by the module, but not left without a word.
+        let answered = clients.iter_mut().filter_map(Client::try_read).count();
+        if took < Duration::from_millis(30) {
+            assert!(wrote);
+            assert_eq!(answered, 60);
+            return;
+        }
+        // This machine was too slow to tell: once more.
+    }
+    panic!("never as fast as clients are");
+}
+
+#[test]
+fn the_time_of_a_request_runs_while_the_program_stands_still() {
+    let stage = Stage::new();
+    stage.servers.iter().for_each(|server| server.doing(Doing::Silent));
+    let mut client = stage.client();
+    assert_eq!(client.send("GET /health/live HTTP/1.1\r\n\r\n").status, 200);
+    stage.program.pause();
+    let begun = Instant::now();
+    client.write(query("all", &[0], 1500).1.as_bytes());
+    thread::sleep(Duration::from_millis(700));
+    stage.program.go_on();
+    assert_eq!(client.read().status, 503);
+    assert!(begun.elapsed() < Duration::from_millis(1900), "{:?}", begun.elapsed());
+}
+
 #[test]
 fn an_id_used_again_just_after_its_answer_sends_nothing_on() {
     let stage = Stage::new();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,7 +38,8 @@
 const LEAST_LIMIT: f64 = 10.0; // parts out for each replica, of all front nodes, that are always allowed
 const LEAST_ROOM: f64 = 8.0; // parts out at one replica that admission always allows ...
 const FLEET_ROOM: f64 = 40.0; // ... less where all front nodes together would make more than this
-const GHOST_WEIGHT: f64 = 2.0; // of a failure with no answer since against a part out, when room is judged
+const GHOST_WEIGHT: f64 = 2.0; // of a failure against a part out, when room is judged ...
+const GHOST_ANSWERED: f64 = 0.5; // ... and of one that an answer followed
 const SHORT_TRIES: u32 = 16; // so many short tries in a row are no repeats
 const OVER_QUOTA: f64 = 1.3; // a tenant beyond this multiple of our share of its quota is over it
 const LEAST_TIME: f64 = 2.0; // a query takes this multiple of the typical part at least
@@ -419,8 +420,8 @@
         let floor = (FLEET_ROOM / f64::from(self.set.fleet_size.max(1))).clamp(2.0, LEAST_ROOM);
         let has_room = |replica: &Replica| {
             let limit = (replica.flow.per_second(self.now, FLOW_HALF) * LIMIT_SHARE).max(floor);
-            let (all, row) = (replica.ghosts.len(), replica.failing.min(replica.ghosts.len()));
-            limit > f64::from(replica.out) + all as f64 + (GHOST_WEIGHT - 1.0) * row as f64
+            let (all, row) = (replica.ghosts.len() as f64, replica.failing.min(replica.ghosts.len()) as f64);
+            limit > f64::from(replica.out) + GHOST_ANSWERED * (all - row) + GHOST_WEIGHT * row
         };
         let free = |(_, replica): (&ReplicaId, &Replica)| on(replica) && has_room(replica);
         let up = |part: &&Part| self.holders(part.shard).any(free);
@@ -428,9 +429,10 @@
         let parts = query.parts.len() as f64 * class.need;
         let sound = |flight: &&Flight| self.replicas[&flight.replica].factor < CONDEMNED && !flight.cancelled;
         let out = self.flights.values().filter(sound).count() as f64;
-        let most = |limit: f64| (limit - limit * RANK_TILT * (1.0 - rank)).max(parts);
-        let room = self.limit.is_none_or(|limit| out + parts <= most(limit));
-        !worthless && room && (reach > class.floor - EPS || !self.replicas.values().any(on))
+        let room = |limit: f64| out + parts <= (limit - limit * RANK_TILT * (1.0 - rank)).max(parts);
+        !worthless
+            && self.limit.is_none_or(room)
+            && (reach > class.floor - EPS || !self.replicas.values().any(on))
     }
 
     // ---- one query's life ----
