--- a/src/logic.rs
+++ b/src/logic.rs
@@ -322,7 +322,7 @@
         self.usual = self.served.per_second(now, HALF_LIFE) / size.max(EPS);
         let on = self.replicas.iter().filter(|(_, replica)| replica.lifecycle == Lifecycle::On);
         let mut paces: BTreeMap<_, _> = on.map(|(id, replica)| (*id, self.pace(replica))).collect();
-        // One that has left is forgotten when nothing of it counts any more: parts out, failures, a cold start.
+        // One that has left is forgotten once nothing of it counts: parts out, failures, a cold start.
         self.replicas.retain(|_, replica| {
             replica.ghosts.retain(|until| *until > now);
             let counts = replica.out > 0 || replica.started.is_some_and(|at| now - at < warm);
@@ -331,8 +331,7 @@
         let calls = self.calls.per_second(now, HALF_LIFE).max(EPS);
         self.gap = SECOND.times(paces.len() as f64 / calls).min(HALF_LIFE);
         for flight in self.flights.values().filter(|flight| !flight.cancelled) {
-            let heard = self.replicas.get(&flight.replica).map_or(now, |replica| replica.last_ok);
-            let silence = now - flight.sent.max(heard);
+            let silence = now - flight.sent.max(self.replicas[&flight.replica].last_ok);
             let pace = paces.get_mut(&flight.replica).filter(|_| silence > self.overdue_after(flight.slot));
             if let Some(pace) = pace {
                 *pace = pace.max(silence.over(self.typical(flight.slot)).min(PACE_CAP));
@@ -430,9 +429,8 @@
         let sound = |flight: &&Flight| self.replicas[&flight.replica].factor < CONDEMNED && !flight.cancelled;
         let out = self.flights.values().filter(sound).count() as f64;
         let room = |limit: f64| out + parts <= (limit - limit * RANK_TILT * (1.0 - rank)).max(parts);
-        !worthless
-            && self.limit.is_none_or(room)
-            && (reach > class.floor - EPS || !self.replicas.values().any(on))
+        let reached = reach > class.floor - EPS || !self.replicas.values().any(on);
+        !worthless && reached && self.limit.is_none_or(room)
     }
 
     // ---- one query's life ----
