A connection on which parts are given up and nothing is heard gets no more calls

Ruled out: load (p50 7 ms), strain, resets (0). Now three parts given up in a row with no byte between mean that the connection gets no more calls (unheard_parts). Test: connections_that_fall_silent_are_left_for_new_ones.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -44,6 +44,8 @@
     pub streams: usize,
     /// Bytes that may wait to be written on one connection to an index server.
     pub server_backlog: usize,
+    /// Parts given up in a row with nothing heard between, after which a connection gets no more calls.
+    pub unheard: usize,
     /// Connections to index servers at most.
     pub server_connections: usize,
     /// Connections of clients at most.
@@ -124,7 +126,8 @@
 }
 
 /// What may stand in the object `transport`, in milliseconds, bytes or counts.
-const KNOBS: [&str; 17] = [
+const KNOBS: [&str; 18] = [
+    "unheard_parts",
     "first_ms",
     "frame_ms",
     "request_ms",
@@ -185,6 +188,7 @@
         server_idle: ms("server_idle_ms", idle.max(1))?,
         streams: set("streams", stated.streams_per_conn.map_or(32, u64::from))? as usize,
         server_backlog: set("server_backlog_bytes", 64 * 1024)? as usize,
+        unheard: set("unheard_parts", 3)? as usize,
         server_connections: servers,
         client_connections: clients,
         discovery_answer: ms("discovery_answer_ms", 3_000)?,
--- a/crates/node/src/reasons.rs
+++ b/crates/node/src/reasons.rs
@@ -50,6 +50,7 @@
     Broken "broken",
     IoError "io_error",
     Replaced "replaced",
+    Unheard "unheard",
     EndedByPeer "ended_by_peer",
     EndedWithinFrame "ended_within_frame",
     StalledWithinFrame "stalled_within_frame",
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -35,6 +35,8 @@
     bell: Notify,
     /// It takes no more calls: it has ended, or its index server is another by now.
     shut: Cell<bool>,
+    /// It was left because nothing was heard on it.
+    silent: Cell<bool>,
     calls: Cell<u64>,
     parts: Cell<u64>,
 }
@@ -127,6 +129,7 @@
             link: RefCell::default(),
             bell: Notify::new(),
             shut: Cell::new(false),
+            silent: Cell::new(false),
             calls: Cell::new(0),
             parts: Cell::new(0),
         });
@@ -149,6 +152,11 @@
     pub fn give_up(&mut self, ticket: Ticket) {
         if let Some(conn) = self.carriers.remove(&ticket) {
             conn.link.borrow_mut().give_up(ticket, self.may_cancel);
+            if conn.link.borrow().unheard() as usize >= self.live.get().transport.unheard {
+                // It may be open and dead: what is out there may still end, the next call opens another.
+                conn.silent.set(true);
+                conn.shut.set(true);
+            }
             conn.bell.notify_one();
         }
     }
@@ -236,7 +244,7 @@
             }
             let idle = link.borrow().open() == 0 && link.borrow().waiting() == 0;
             if idle && self.conn.shut.get() {
-                return Reason::Replaced;
+                return if self.conn.silent.get() { Reason::Unheard } else { Reason::Replaced };
             }
             let wants = if link.borrow().waiting() > 0 {
                 Interest::READABLE | Interest::WRITABLE
--- a/crates/node/tests/common/stand_ins.rs
+++ b/crates/node/tests/common/stand_ins.rs
@@ -166,6 +166,8 @@
     ServingAfter(Duration),
     /// Takes parts and says nothing.
     Silent,
+    /// Says nothing more on the connections that it had by then, so many, and serves on others.
+    SilentUpTo(u64),
     /// Answers with an error.
     Failing,
     /// Turns parts away.
@@ -250,15 +252,19 @@
         let shared = acts.clone();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                shared.lock().expect("no panic").connections += 1;
                 let acts = shared.clone();
-                thread::spawn(move || Server::serve(stream, &acts));
+                let number = {
+                    let mut acts = shared.lock().expect("no panic");
+                    acts.connections += 1;
+                    acts.connections
+                };
+                thread::spawn(move || Server::serve(stream, &acts, number));
             }
         });
         Server { address, acts }
     }
 
-    fn serve(stream: TcpStream, acts: &Mutex<Acts>) -> Option<()> {
+    fn serve(stream: TcpStream, acts: &Mutex<Acts>, number: u64) -> Option<()> {
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let writer = Arc::new(Mutex::new(stream));
         loop {
@@ -301,6 +307,8 @@
                     continue;
                 }
                 Doing::Silent => continue,
+                Doing::SilentUpTo(old) if number <= old => continue,
+                Doing::SilentUpTo(_) => say("S", true),
                 Doing::Failing => say("E", false),
                 Doing::Full => say("B", false),
                 Doing::EndingAfterFrame => {
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -258,6 +258,23 @@
     }
 }
 
+#[test]
+fn connections_that_fall_silent_are_left_for_new_ones() {
+    let stage = Stage::new();
+    for _ in 0..20 {
+        stage.serves();
+    }
+    stage.servers.iter().for_each(|server| server.doing(Doing::SilentUpTo(server.connections())));
+    let mut client = stage.client();
+    let mut in_a_row = 0;
+    eventually("queries are served again, and go on to be", || {
+        let served = client.send(&query("all", &[0, 1, 2], 400).1).status == 200;
+        in_a_row = if served { in_a_row + 1 } else { 0 };
+        in_a_row == 10
+    });
+    assert!(stage.program.reasons("index_server").contains(&"unheard".to_owned()));
+}
+
 #[test]
 fn connections_to_a_server_that_left_the_list_end() {
     let stage = Stage::new();
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -125,6 +125,8 @@
     /// It has brought an answer.
     served: bool,
     forgot: bool,
+    /// Parts given up after they were written, in a row, with nothing heard between.
+    unheard: u32,
     /// Answers that came after their attempt had ended.
     pub late: u64,
 }
@@ -176,6 +178,7 @@
             }
             return;
         }
+        self.unheard += 1;
         if say {
             self.push(give_up(&id), Vec::new());
         }
@@ -216,6 +219,7 @@
 
     /// Takes bytes as they come.
     pub fn feed(&mut self, bytes: &[u8]) {
+        self.unheard = 0;
         self.frames.feed(bytes);
     }
 
@@ -246,6 +250,11 @@
         self.frames.within()
     }
 
+    /// Parts given up in a row with nothing heard between: a connection may be open and dead.
+    pub fn unheard(&self) -> u32 {
+        self.unheard
+    }
+
     /// Frames of the index server that were whole.
     pub fn frames(&self) -> u64 {
         self.frames.whole
