--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -88,7 +88,6 @@
             // What has come to other sockets by now is read before anything is decided: after a pause of the
             // machine a client may have left, and an answer may be there, for what is about to be sent.
             tokio::task::yield_now().await;
-            self.pools.looked();
             while let Ok(message) = self.inbox.try_recv() {
                 self.take(message);
             }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -20,11 +20,6 @@
 
 /// Frames of one gathered write.
 const MOST_SLICES: usize = 64;
-/// What was decided this long ago, or longer, is written only after the sockets have been looked at again.
-const STALE: Duration = Duration::from_millis(3);
-/// Turns of all other tasks that it takes until a client's leaving has been read, decided upon, and its parts
-/// have been taken back.
-const TURNS: usize = 4;
 /// Reads of one connection in a row.
 const MOST_READS: usize = 4;
 /// Bytes of one read.
@@ -64,8 +59,6 @@
     scratch: Rc<RefCell<Vec<u8>>>,
     /// The deployment lets attempts be cancelled.
     may_cancel: bool,
-    /// When all sockets were last looked at before something was decided.
-    seen: Rc<Cell<Instant>>,
     next: u64,
 }
 
@@ -80,13 +73,7 @@
     ) -> Pools {
         let (by_replica, carriers) = (HashMap::new(), HashMap::new());
         let scratch = Rc::new(RefCell::new(vec![0; READ]));
-        let seen = Rc::new(Cell::new(Instant::now()));
-        Pools { live, counters, log, to_core, by_replica, carriers, scratch, may_cancel, seen, next: 0 }
-    }
-
-    /// All sockets have been looked at; what is decided next rests on that.
-    pub fn looked(&self) {
-        self.seen.set(Instant::now());
+        Pools { live, counters, log, to_core, by_replica, carriers, scratch, may_cancel, next: 0 }
     }
 
     /// Sends a call and returns the attempts that found no connection.
@@ -156,7 +143,6 @@
             to_core: self.to_core.clone(),
             log: self.log.clone(),
             scratch: self.scratch.clone(),
-            seen: self.seen.clone(),
         };
         tokio::task::spawn_local(driver.run(address));
         Some(conn)
@@ -214,7 +200,6 @@
     log: Logger,
     /// Where every connection reads to: a connection that rests holds no buffer of its own.
     scratch: Rc<RefCell<Vec<u8>>>,
-    seen: Rc<Cell<Instant>>,
 }
 
 impl Driver {
@@ -254,12 +239,6 @@
             if let Some(reason) = self.read(stream, bytes_in, &mut last, &mut frame).await {
                 return reason;
             }
-            // After a pause of this process a client may have left for whom this was to be sent.
-            if link.borrow().waiting() > 0 && self.seen.get().elapsed() >= STALE {
-                for _ in 0..TURNS {
-                    tokio::task::yield_now().await;
-                }
-            }
             if let Err(error) = self.write(stream, bytes_out, &mut last) {
                 return Reason::from(&error);
             }
