Those that rest make room again where newcomers are few: connections starved behind them

At fault: clients.rs, listen: while any connection had come within 50 ms none that rested was asked to leave, so that at the bound each new one waited for those. Now only where half of all came just now.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -75,9 +75,9 @@
     loop {
         let most = front.live.get().transport.client_connections as u64;
         if front.counters.connections.clients_open.get() >= most {
-            // A connection that has asked nothing for a while makes room; where none has, nor may have soon, the
-            // one that has rested longest; else the next waits its turn.
-            if !front.silent.make_room() && front.newcomers.count.get() == 0 {
+            // A connection that has asked nothing for a while makes room; where none has, the one that has rested
+            // longest, unless half of all came just now: in a flood of silent ones some of those soon will.
+            if !front.silent.make_room() && front.newcomers.count.get() * 2 < most {
                 front.resting.make_room();
             }
             let _ = timeout(LOOK_AGAIN, front.ended.notified()).await;
