--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,7 +1,6 @@
 //! The simulator's wire on standard input and output, in front of pinetrestle's decision core.
 //!
 //! Nothing but translation: one front node for each instance, names turned into numbers and back.
-#![forbid(unsafe_code)]
 
 mod wire;
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,7 +2,6 @@
 //!
 //! The simulator's adapter and the real front node both read them here, so that the module decides from
 //! the same figures in both.
-#![forbid(unsafe_code)]
 
 pub mod fields;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,6 @@
 //!
 //! The crate does no I/O and reads no clock. A host feeds [`FrontNode`] batches of
 //! [`interface::Event`] together with the time and carries out the [`interface::Action`]s it gets.
-#![forbid(unsafe_code)]
 
 pub mod interface;
 mod logic;
