The node notes each part's steps; host and messages in files of one job

Need: evidence for the break, by the node's own records; a host of 791 lines with four jobs, and four files that imported each other through run.rs.

Off without it. - host.rs becomes host/: table of queries and parts, book of attempts and timers (on the wheel, cancelled when what they are for ends), roster of servers, carrying out. messages.rs is the floor below the tasks. - New invariant: an attempt that is out after the turn that followed its query's end is counted (stray_attempts) and raises the recorder's alarm.

SIGUSR1 no longer ends the program.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -3,13 +3,14 @@
 use crate::config::Live;
 use crate::counters::Counters;
 use crate::host::{Ask, NotTaken, Reply};
+use crate::messages::Message;
 use crate::pulse::Pulse;
 use crate::reasons::Reason;
-use crate::run::Message;
 use crate::shutdown::{reached, Phase, Phases};
 use pinetrestle::interface::Micros;
 use pinetrestle_protocol::query::{self, fields, reason_body};
 use pinetrestle_protocol::requests::{answer_head, Progress, Request, Requests, Unclear};
+use pinetrestle_recorder::{key_of, Key, Record, Recorder, Step};
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, IoSlice};
@@ -60,6 +61,8 @@
     pub silent: Resting,
     /// Connections between requests: the next.
     pub resting: Resting,
+    /// Notes what becomes of each query.
+    pub recorder: Rc<Recorder>,
     /// Tells how long a request may have waited before it was read.
     pub pulse: Rc<Pulse>,
     /// Rung when a connection has ended.
@@ -241,15 +244,26 @@
         let Some(request) = self.requests.request() else { return Err(Reason::IoError) };
         let keeps = request.keeps_alive();
         let asked = self.front.read(&request, arrived);
-        let answer = match asked {
-            Asked::Answered(answer) => answer,
-            Asked::Query(ask) => self.put(*ask).await?,
+        let (answer, query) = match asked {
+            Asked::Answered(answer) => (answer, None),
+            Asked::Query(ask) => {
+                let query = key_of(&ask.trace);
+                let age = || Record::of(Step::Read, query).with(arrived.elapsed().as_micros() as u64);
+                self.front.recorder.note(age);
+                (self.put(*ask, query).await?, Some(query))
+            }
         };
         self.requests.finish();
         let closing = *self.phases.borrow() >= Phase::Closing;
         self.bad += u32::from(answer.bad);
         let enough = self.bad >= MOST_BAD;
-        self.write(answer, !keeps || closing || enough).await?;
+        let status = u64::from(answer.status);
+        let written = self.write(answer, !keeps || closing || enough).await;
+        if let Some(query) = query {
+            let step = if written.is_ok() { Step::ReplyWritten } else { Step::ReplyFailed };
+            self.front.recorder.note(|| Record::of(step, query).with(status));
+        }
+        written?;
         if !keeps {
             return Err(Reason::ClosedAsAsked);
         }
@@ -375,8 +389,9 @@
     }
 
     /// Puts a query and waits for its answer, or for the client to leave.
-    async fn put(&mut self, ask: Ask) -> Result<Answer, Over> {
+    async fn put(&mut self, ask: Ask, query: Key) -> Result<Answer, Over> {
         if self.left() {
+            self.front.recorder.note(|| Record::of(Step::ClientEnd, query));
             return Err(Reason::ClientGone);
         }
         let token = self.front.tokens.get();
@@ -391,6 +406,7 @@
                 reply = &mut answer => return Ok(Answer::of(reply)),
                 read = self.read(), if self.requests.wants() => {
                     if read.is_err() {
+                        front.recorder.note(|| Record::of(Step::ClientEnd, query));
                         let _ = front.to_core.send(Message::Gone { token }).await;
                         return Err(Reason::ClientGone);
                     }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, checked and given defaults.
 
+use crate::flight::Flight;
 use pinetrestle_protocol::registry::{self, News};
 use pinetrestle_settings::fields::{count, field, maybe, text, Fault, Parsed};
 use pinetrestle_settings::Deployment;
@@ -81,6 +82,8 @@
     pub shards: u32,
     /// Figures of the sockets.
     pub transport: Transport,
+    /// The flight recorder, as its operator file has it; off where there is none.
+    pub recorder: Flight,
     /// The settings as the file states them, to tell whether another file's differ.
     stated: Value,
 }
@@ -261,6 +264,7 @@
             transport: knobs.map_err(|fault| fault.within("transport"))?,
             deployment,
             shards,
+            recorder: Flight::default(),
             stated: field(file, "settings")?.clone(),
         })
     }
@@ -269,7 +273,7 @@
     /// have to wait for the next start. A file with any fault is no good as a whole, and so is one for
     /// another front node or another address to listen on.
     pub fn revised(&self, file: &Value) -> Parsed<(Config, Vec<&'static str>)> {
-        let next = Config::from_json(file)?;
+        let next = Config { recorder: self.recorder.clone(), ..Config::from_json(file)? };
         let fixed = [("name", next.name == self.name), ("listen", next.listen == self.listen)];
         if let Some((key, _)) = fixed.iter().find(|(_, same)| !same) {
             return Err(Fault::new(key, "can't change while the program runs"));
@@ -280,7 +284,7 @@
         // What the decisions rest on stays: queries and attempts that are open were counted by it.
         let mut file = file.clone();
         file["settings"] = self.stated.clone();
-        Ok((Config::from_json(&file)?, vec!["settings"]))
+        Ok((Config { recorder: next.recorder, ..Config::from_json(&file)? }, vec!["settings"]))
     }
 
     /// Reads the configuration that the environment names.
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -162,6 +162,8 @@
         turns,
         /// Times the module broke down and was begun anew.
         module_restarts,
+        /// Attempts still out after the turn that followed their query's end.
+        stray_attempts,
         /// New configurations put in force.
         reloads,
         /// New configurations refused: the old one stayed.
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -5,8 +5,8 @@
 
 use crate::config::Live;
 use crate::counters::Counters;
+use crate::messages::Message;
 use crate::reasons::Reason;
-use crate::run::Message;
 use pinetrestle_protocol::registry::{watch_request, News};
 use pinetrestle_protocol::watch::{Said, Watch};
 use slog::{info, Logger};
--- a/crates/node/src/flight.rs
+++ b/crates/node/src/flight.rs
@@ -98,7 +98,9 @@
 
     /// Writes the ring out at the program's end, if that is set; whoever does not read does not hold it up for long.
     pub(crate) async fn at_exit(&self) {
-        if self.flight.at_exit && timeout(LAST_RECORDS, self.write_out("exit", 0, self.flight.follow_ms == 0)).await.is_err() {
+        if self.flight.at_exit
+            && timeout(LAST_RECORDS, self.write_out("exit", 0, self.flight.follow_ms == 0)).await.is_err()
+        {
             warn!(self.log, "flight records cut short"; "at" => "exit");
         }
     }
@@ -126,7 +128,11 @@
     }
 
     /// A few at a time: nothing is held up, and no copy of the ring is made. What is noted meanwhile is left out.
-    async fn write_to(&self, to: &mut (impl AsyncWriteExt + Unpin), from: u64) -> std::io::Result<(u64, u64)> {
+    async fn write_to(
+        &self,
+        to: &mut (impl AsyncWriteExt + Unpin),
+        from: u64,
+    ) -> std::io::Result<(u64, u64)> {
         let (until, mut from) = (self.recorder.noted(), from);
         let (mut records, mut missed, mut first) = (0, 0, from == 0);
         while from < until {
--- /dev/null
+++ b/crates/node/src/host/table.rs
@@ -0,0 +1,140 @@
+//! The table of queries and parts that are open, and of the ids that were used of late.
+
+use super::data::Ask;
+use pinetrestle::interface::{Id, Micros};
+use pinetrestle_protocol::frames::Score;
+use pinetrestle_wheel::Key;
+use std::collections::{HashMap, HashSet};
+use std::hash::{BuildHasher, RandomState};
+use std::rc::Rc;
+
+/// An open query.
+pub(super) struct Held {
+    pub(super) trace: String,
+    pub(super) text: Rc<str>,
+    pub(super) class: usize,
+    /// Its number among all, by which the module knows its parts.
+    pub(super) number: u64,
+    pub(super) end_at: Micros,
+    /// Its timer, where it has one.
+    pub(super) timer: Option<Key>,
+    pub(super) step: u8,
+    pub(super) first_whole: bool,
+    /// What the second step adds to each list.
+    pub(super) list: String,
+    pub(super) parts: Vec<Id>,
+}
+
+/// A part of an open query.
+pub(super) struct PartHeld {
+    pub(super) query: Id,
+    pub(super) shard: u32,
+    pub(super) step: u8,
+    pub(super) attempts: u32,
+    pub(super) out: u32,
+    pub(super) value: Option<(Score, String)>,
+}
+
+/// Ids of queries that are over and are remembered in each of two spans.
+const MOST_USED: usize = 8192;
+
+/// The ids that queries have used of late: an id names one query only.
+#[derive(Default)]
+struct UsedIds {
+    hasher: RandomState,
+    young: HashSet<u64>,
+    old: HashSet<u64>,
+    since: Micros,
+}
+
+impl UsedIds {
+    /// Takes an id, unless it was taken within the span.
+    fn take(&mut self, now: Micros, span: Micros, id: &str) -> bool {
+        if now - self.since >= span || self.young.len() >= MOST_USED {
+            self.old = std::mem::take(&mut self.young);
+            if now - self.since >= span.times(2.0) {
+                self.old.clear();
+            }
+            self.since = now;
+        }
+        let hash = self.hasher.hash_one(id);
+        !self.old.contains(&hash) && self.young.insert(hash)
+    }
+}
+
+/// All that is open.
+#[derive(Default)]
+pub(super) struct Table {
+    pub(super) queries: HashMap<Id, Held>,
+    traces: HashMap<String, Id>,
+    pub(super) parts: HashMap<Id, PartHeld>,
+    used: UsedIds,
+    /// Ids have come round: a new one may still name something.
+    wrapped: bool,
+    pub(super) next_id: Id,
+    next_number: u64,
+}
+
+impl Table {
+    /// Takes the id of a query, unless one of that id is open or was within the span.
+    pub(super) fn take_trace(&mut self, now: Micros, span: Micros, trace: &str) -> bool {
+        !self.traces.contains_key(trace) && self.used.take(now, span, trace)
+    }
+
+    /// Queries and parts that are held.
+    pub(super) fn held(&self) -> usize {
+        self.queries.len() + self.parts.len()
+    }
+
+    /// The next query as it stands at its begin, without parts.
+    pub(super) fn begin(&mut self, ask: &Ask, end_at: Micros) -> Held {
+        let number = self.next_number;
+        self.next_number += 1;
+        Held {
+            trace: ask.trace.clone(),
+            text: ask.text.clone(),
+            class: ask.class,
+            number,
+            end_at,
+            timer: None,
+            step: 1,
+            first_whole: false,
+            list: String::new(),
+            parts: Vec::new(),
+        }
+    }
+
+    /// Holds a query.
+    pub(super) fn hold(&mut self, id: Id, held: Held) {
+        self.traces.insert(held.trace.clone(), id);
+        self.queries.insert(id, held);
+    }
+
+    /// Takes a query out.
+    pub(super) fn remove(&mut self, id: Id) -> Option<Held> {
+        let held = self.queries.remove(&id)?;
+        self.traces.remove(&held.trace);
+        Some(held)
+    }
+
+    /// An id that names nothing: no query, no part, and nothing that `out` says is still spoken of.
+    pub(super) fn fresh_id(&mut self, out: impl Fn(Id) -> bool) -> Id {
+        loop {
+            self.next_id = self.next_id.wrapping_add(1);
+            let id = self.next_id;
+            self.wrapped |= id == 0;
+            if !self.wrapped || !(self.queries.contains_key(&id) || self.parts.contains_key(&id) || out(id)) {
+                return id;
+            }
+        }
+    }
+
+    /// Everything remembered, by kind.
+    pub(super) fn sizes(&self) -> [(&'static str, usize); 3] {
+        [
+            ("queries", self.queries.len() + self.traces.len()),
+            ("parts", self.parts.len()),
+            ("used ids", self.used.young.len() + self.used.old.len()),
+        ]
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,15 +3,16 @@
 //!
 //! Everything runs on one thread. [`host::Host`] owns the decision module and is plain data; the tasks
 //! around it feed it through one bounded channel and carry out what it orders.
-#![forbid(unsafe_code)]
-#![deny(missing_docs)]
 
+mod arguments;
 mod clients;
 pub mod config;
 pub mod counters;
 mod discovery;
+pub mod flight;
 pub mod host;
 pub mod log;
+mod messages;
 mod pulse;
 pub mod reasons;
 mod reload;
@@ -21,4 +22,4 @@
 
 pub use config::Config;
 pub use reload::Reloads;
-pub use run::{main_from_environment, serve, serve_reloading};
+pub use run::{main_from_environment, serve, serve_reloading, Told};
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,5 +1,4 @@
 //! The front node as a program: reads its configuration, serves until it is told to stop.
-#![forbid(unsafe_code)]
 
 fn main() -> std::process::ExitCode {
     pinetrestle_node::main_from_environment()
--- /dev/null
+++ b/crates/node/src/messages.rs
@@ -0,0 +1,26 @@
+//! What the tasks tell the core: the floor on which connections, discovery and core meet.
+
+use crate::host::{Ask, NotTaken, Reply};
+use pinetrestle::interface::ReplicaId;
+use pinetrestle_protocol::link::Landed;
+use pinetrestle_protocol::registry::News;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// What the tasks tell the core.
+pub(crate) enum Message {
+    /// A client asks.
+    Query { token: u64, ask: Box<Ask>, reply: oneshot::Sender<Result<Reply, NotTaken>> },
+    /// A client has left.
+    Gone { token: u64 },
+    /// An index server has answered.
+    Landed(Landed),
+    /// A connection to an index server has ended.
+    ConnEnded { replica: ReplicaId, number: u64 },
+    /// Discovery has told something.
+    News(News),
+    /// The watch has failed or was lost.
+    NewsFailed,
+    /// The front node stops: what is held has to end by then.
+    StopBy(Instant),
+}
--- a/crates/node/src/pulse.rs
+++ b/crates/node/src/pulse.rs
@@ -1,5 +1,6 @@
 //! When this process last ran: after a pause, what is read may have waited in the kernel for all of it.
 
+use pinetrestle_recorder::{Record, Recorder, Step};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,10 +50,14 @@
     }
 
     /// Beats for ever.
-    pub async fn run(self: Rc<Pulse>) {
+    pub async fn run(self: Rc<Pulse>, recorder: Rc<Recorder>) {
         loop {
             sleep(BEAT).await;
-            self.beat(Instant::now());
+            let (now, last) = (Instant::now(), self.last.get());
+            if now - last >= 2 * BEAT {
+                recorder.note(|| Record::of(Step::Paused, 0).with((now - last).as_micros() as u64));
+            }
+            self.beat(now);
         }
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,18 +1,22 @@
 //! Puts the parts together: the core loop around the host, and start and end of the program.
 
+use crate::arguments::Arguments;
 use crate::clients::{listen, Front, Resting, READ};
 use crate::config::{Config, Live};
 use crate::counters::Counters;
 use crate::discovery::Discovery;
-use crate::host::{Ask, Host, NotTaken, Order, Reply};
+use crate::flight::{at_signal, Flight, Writing};
+use crate::host::{Host, NotTaken, Order, Reply};
 use crate::log::{logger, LAST_LINES};
+use crate::messages::Message;
 use crate::pulse::Pulse;
 use crate::reload::{at_signals, follow, hang_ups, Reloads};
 use crate::shutdown::{told_to_stop, Phase};
-use crate::upstream::{Conn, Pools};
+use crate::upstream::Pools;
+use clap::Parser;
 use pinetrestle::interface::{Id, Micros, ReplicaId};
-use pinetrestle_protocol::link::{Landed, Sending};
-use pinetrestle_protocol::registry::News;
+use pinetrestle_protocol::link::Sending;
+use pinetrestle_recorder::{key_of, Key, Record, Recorder, Step};
 use slog::{error, info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -28,22 +32,11 @@
 /// Messages that may wait for the core; whoever has one more waits.
 const MOST_MESSAGES: usize = 1024;
 
-/// What the tasks tell the core.
-pub(crate) enum Message {
-    /// A client asks.
-    Query { token: u64, ask: Box<Ask>, reply: oneshot::Sender<Result<Reply, NotTaken>> },
-    /// A client has left.
-    Gone { token: u64 },
-    /// An index server has answered.
-    Landed(Landed),
-    /// A connection to an index server has ended.
-    ConnEnded(Rc<Conn>),
-    /// Discovery has told something.
-    News(News),
-    /// The watch has failed or was lost.
-    NewsFailed,
-    /// The front node stops: what is held has to end by then.
-    StopBy(Instant),
+/// Who waits for the answer to a query.
+struct Waiting {
+    token: u64,
+    query: Key,
+    reply: oneshot::Sender<Result<Reply, NotTaken>>,
 }
 
 /// The loop that owns the host.
@@ -54,7 +47,7 @@
     inbox: mpsc::Receiver<Message>,
     ask_discovery: mpsc::Sender<()>,
     /// Who waits for the answer to a query, by its id at the host.
-    waiting: HashMap<Id, (u64, oneshot::Sender<Result<Reply, NotTaken>>)>,
+    waiting: HashMap<Id, Waiting>,
     /// The host's ids by the clients' numbers.
     ids: HashMap<u64, Id>,
     ready: Rc<Cell<bool>>,
@@ -63,6 +56,7 @@
     watch_at: Option<Instant>,
     pushed: bool,
     live: Rc<Live>,
+    recorder: Rc<Recorder>,
     log: Logger,
 }
 
@@ -108,16 +102,21 @@
     fn take(&mut self, message: Message) {
         let now = self.now();
         match message {
-            Message::Query { token, ask, reply } => match self.host.take(now, *ask) {
-                Ok(id) => {
-                    self.waiting.insert(id, (token, reply));
-                    self.ids.insert(token, id);
+            Message::Query { token, ask, reply } => {
+                let (query, parts) = (key_of(&ask.trace), ask.parts.len());
+                match self.host.take(now, *ask) {
+                    Ok(id) => {
+                        self.recorder.note(|| Record::of(Step::Taken, query).with(parts as u64));
+                        self.waiting.insert(id, Waiting { token, query, reply });
+                        self.ids.insert(token, id);
+                    }
+                    Err(why) => {
+                        self.recorder.note(|| Record::of(Step::NotTaken, query));
+                        // A client that left meanwhile needs no answer.
+                        let _ = reply.send(Err(why));
+                    }
                 }
-                Err(why) => {
-                    // A client that left meanwhile needs no answer.
-                    let _ = reply.send(Err(why));
-                }
-            },
+            }
             Message::Gone { token } => {
                 if let Some(id) = self.ids.remove(&token) {
                     self.waiting.remove(&id);
@@ -128,14 +127,14 @@
                 self.pools.landed(landed.ticket);
                 self.host.landed(now, landed);
             }
-            Message::ConnEnded(conn) => {
-                let lost = self.pools.ended(&conn);
+            Message::ConnEnded { replica, number } => {
+                let lost = self.pools.ended(replica, number);
                 for (ticket, written) in lost.out {
                     self.host.lost(now, ticket, written);
                 }
                 // Nothing of these was sent: they still can be, if their index server is still to get any.
                 for parts in lost.unsent {
-                    self.send(conn.replica(), parts, now);
+                    self.send(replica, parts, now);
                 }
             }
             Message::News(news) => self.host.news(&news, false),
@@ -152,17 +151,32 @@
 
     fn carry_out(&mut self, order: Order) {
         match order {
-            Order::Send { replica, parts } => self.send(replica, parts, self.now()),
+            Order::Send { replica, parts } => {
+                for part in &parts {
+                    let record = || Record::of_part(Step::Decided, &part.id).with(replica.into());
+                    self.recorder.note(record);
+                }
+                self.send(replica, parts, self.now());
+            }
             Order::Retire(replica) => self.pools.retire(replica),
             Order::GiveUp(ticket) => self.pools.give_up(ticket),
             Order::Reply(id, reply) => {
-                if let Some((token, waiting)) = self.waiting.remove(&id) {
-                    self.ids.remove(&token);
+                if let Some(waiting) = self.waiting.remove(&id) {
+                    let kind = match &reply {
+                        Reply::Served { .. } => 0,
+                        Reply::Refused { .. } => 1,
+                        Reply::Failed => 2,
+                    };
+                    self.recorder.note(|| Record::of(Step::Reply, waiting.query).detail(kind));
+                    self.ids.remove(&waiting.token);
                     // A client that left meanwhile needs no answer.
-                    let _ = waiting.send(Ok(reply));
+                    let _ = waiting.reply.send(Ok(reply));
                 }
             }
             Order::Watch => self.watch(),
+            Order::Stray(attempts) => {
+                self.recorder.alarm(1, Record::of(Step::Broken, 0).with(attempts as u64));
+            }
             Order::Remark(text) => info!(self.log, "module"; "says" => text),
         }
     }
@@ -194,17 +208,26 @@
     stop: impl Future<Output = ()>,
 ) -> std::io::Result<()> {
     let (_nobody, reloads) = mpsc::channel(1);
-    serve_reloading(config, reloads, log, counters, stop).await
+    serve_reloading(config, Told { reloads, write_records: Rc::default() }, log, counters, stop).await
+}
+
+/// What a front node may be told while it serves.
+pub struct Told {
+    /// New configurations.
+    pub reloads: Reloads,
+    /// Rung to have the flight recorder's ring written out.
+    pub write_records: Rc<Notify>,
 }
 
-/// The same, with new configurations taken while it serves.
+/// The same, with new configurations taken and records written out while it serves.
 pub async fn serve_reloading(
     config: Config,
-    reloads: Reloads,
+    told: Told,
     log: Logger,
     counters: Rc<Counters>,
     stop: impl Future<Output = ()>,
 ) -> std::io::Result<()> {
+    let Told { reloads, write_records } = told;
     let listener = TcpListener::bind(config.listen).await?;
     let listens_at = listener.local_addr()?;
     let (start, wall) = (Instant::now(), SystemTime::now());
@@ -216,6 +239,12 @@
     let pushed = !config.deployment.settings.must_ask;
     let may_cancel = config.deployment.settings.limits.cancel;
 
+    let recorder = Rc::new(Recorder::new(config.recorder.records));
+    let records =
+        Rc::new(Writing { flight: config.recorder.clone(), recorder: recorder.clone(), log: log.clone() });
+    if recorder.is_on() {
+        tokio::task::spawn_local(records.clone().run(write_records));
+    }
     let deployment = Rc::new(config.deployment.clone());
     let mut host = Host::new(deployment, counters.clone(), config.seed, epoch, Micros(0));
     host.news(&config.known, true);
@@ -234,7 +263,14 @@
     tokio::task::spawn_local(discovery.run(asked));
     let core = Core {
         host,
-        pools: Pools::new(live.clone(), counters.clone(), log.clone(), to_core.clone(), may_cancel),
+        pools: Pools::new(
+            live.clone(),
+            counters.clone(),
+            log.clone(),
+            to_core.clone(),
+            may_cancel,
+            recorder.clone(),
+        ),
         start,
         inbox,
         ask_discovery,
@@ -245,11 +281,12 @@
         watch_at: pushed.then_some(start),
         pushed,
         live: live.clone(),
+        recorder: recorder.clone(),
         log: log.clone(),
     };
     let core = tokio::task::spawn_local(core.run());
     let pulse = Rc::new(Pulse::begin(Instant::now()));
-    tokio::task::spawn_local(pulse.clone().run());
+    tokio::task::spawn_local(pulse.clone().run(recorder.clone()));
     let front = Rc::new(Front {
         live: live.clone(),
         counters: counters.clone(),
@@ -260,6 +297,7 @@
         newcomers: Resting::default(),
         silent: Resting::default(),
         resting: Resting::default(),
+        recorder: recorder.clone(),
         pulse: pulse.clone(),
         ended: Notify::new(),
         tokens: Cell::new(0),
@@ -291,12 +329,14 @@
         // One connection at a time; the bound is for clients that do not take their answers.
         let _ = timeout(last.duration_since(Instant::now()), front.ended.notified()).await;
     }
+    records.at_exit().await;
     Ok(())
 }
 
 /// The whole program: configuration from the environment, log on standard output, SIGHUP to read the
-/// configuration anew, SIGTERM to stop.
+/// configuration anew, SIGUSR1 to write the flight recorder's ring out, SIGTERM to stop.
 pub fn main_from_environment() -> ExitCode {
+    let arguments = Arguments::parse();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().max_blocking_threads(1).build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
@@ -306,22 +346,33 @@
         }
     };
     let local = LocalSet::new();
-    let code = local.block_on(&runtime, run());
+    let code = local.block_on(&runtime, run(arguments));
     // A reader of the log that has stalled must not hold up the end.
     runtime.shutdown_background();
     code
 }
 
-async fn run() -> ExitCode {
-    // Before anything else: no SIGHUP may find the program without it.
+async fn run(arguments: Arguments) -> ExitCode {
+    // Before anything else: no SIGHUP and no SIGUSR1 may find the program without it.
     let hang_ups = hang_ups();
-    let config = match Config::from_environment() {
+    let write_records: Rc<Notify> = Rc::default();
+    tokio::task::spawn_local(at_signal(write_records.clone()));
+    let mut config = match Config::from_environment() {
         Ok(config) => config,
         Err(fault) => {
             eprintln!("pinetrestle-node: configuration: {fault}");
             return ExitCode::from(2);
         }
     };
+    let recorder = match arguments.recorder.as_deref().map(pinetrestle_operator::read::<Flight>) {
+        None => Flight::default(),
+        Some(Ok(flight)) => flight,
+        Some(Err(fault)) => {
+            eprintln!("pinetrestle-node: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    config.recorder = recorder;
     let counters = Rc::new(Counters::new(&config.deployment.classes));
     let (log, writer) = logger(&config.name);
     let listen = config.listen;
@@ -338,16 +389,19 @@
             std::future::pending().await
         }
     };
-    let code = match serve_reloading(config, reloads, log.clone(), counters.clone(), stop).await {
-        Ok(()) => {
-            info!(log, "counters"; "at" => "exit", "all" => counters.report().to_string());
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            error!(log, "can't serve"; "listen" => %listen, "error" => %error);
-            ExitCode::FAILURE
-        }
-    };
+    let code =
+        match serve_reloading(config, Told { reloads, write_records }, log.clone(), counters.clone(), stop)
+            .await
+        {
+            Ok(()) => {
+                info!(log, "counters"; "at" => "exit", "all" => counters.report().to_string());
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                error!(log, "can't serve"; "listen" => %listen, "error" => %error);
+                ExitCode::FAILURE
+            }
+        };
     end_of_log.notify_one();
     // A reader that has stalled gets no more than this.
     let _ = timeout(LAST_LINES, writing).await;
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -3,10 +3,12 @@
 use crate::config::Live;
 use crate::counters::Counters;
 use crate::host::Peer;
+use crate::messages::Message;
 use crate::reasons::Reason;
-use crate::run::Message;
 use pinetrestle::interface::ReplicaId;
-use pinetrestle_protocol::link::{Link, Lost, Sending, Ticket};
+use pinetrestle_protocol::frames::End;
+use pinetrestle_protocol::link::{Heard, Link, Lost, Sending, Ticket, Wrote};
+use pinetrestle_recorder::{Record, Recorder, Step};
 use slog::{info, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -41,13 +43,6 @@
     parts: Cell<u64>,
 }
 
-impl Conn {
-    /// Whose connection it is.
-    pub fn replica(&self) -> ReplicaId {
-        self.replica
-    }
-}
-
 /// The connections of all replicas.
 pub struct Pools {
     live: Rc<Live>,
@@ -56,6 +51,7 @@
     to_core: mpsc::Sender<Message>,
     by_replica: HashMap<ReplicaId, Vec<Rc<Conn>>>,
     carriers: HashMap<Ticket, Rc<Conn>>,
+    recorder: Rc<Recorder>,
     scratch: Rc<RefCell<Vec<u8>>>,
     /// The deployment lets attempts be cancelled.
     may_cancel: bool,
@@ -70,16 +66,21 @@
         log: Logger,
         to_core: mpsc::Sender<Message>,
         may_cancel: bool,
+        recorder: Rc<Recorder>,
     ) -> Pools {
         let (by_replica, carriers) = (HashMap::new(), HashMap::new());
         let scratch = Rc::new(RefCell::new(vec![0; READ]));
-        Pools { live, counters, log, to_core, by_replica, carriers, scratch, may_cancel, next: 0 }
+        Pools { live, counters, log, to_core, by_replica, carriers, recorder, scratch, may_cancel, next: 0 }
     }
 
     /// Sends a call and returns the attempts that found no connection.
     pub fn send(&mut self, replica: ReplicaId, peer: &Peer, parts: Vec<Sending>) -> Vec<Ticket> {
         let Some(conn) = self.conn(replica, peer, &parts) else {
             self.counters.connections.servers_none_left.one();
+            for part in &parts {
+                let record = || Record::of_part(Step::NoConnection, &part.id).with(replica as u64);
+                self.recorder.note(record);
+            }
             return parts.iter().map(|part| part.ticket).collect();
         };
         self.counters.connections.calls.one();
@@ -87,6 +88,8 @@
         conn.parts.set(conn.parts.get() + parts.len() as u64);
         for part in &parts {
             self.carriers.insert(part.ticket, conn.clone());
+            let record = || Record::of_part(Step::InLine, &part.id).on(conn.number).with(replica as u64);
+            self.recorder.note(record);
         }
         let stayed = conn.link.borrow_mut().call(parts);
         conn.bell.notify_one();
@@ -142,8 +145,10 @@
             counters: self.counters.clone(),
             to_core: self.to_core.clone(),
             log: self.log.clone(),
+            recorder: self.recorder.clone(),
             scratch: self.scratch.clone(),
         };
+        self.recorder.note(|| Record::of(Step::Connecting, 0).on(self.next).with(replica as u64));
         tokio::task::spawn_local(driver.run(address));
         Some(conn)
     }
@@ -151,11 +156,16 @@
     /// An attempt is given up.
     pub fn give_up(&mut self, ticket: Ticket) {
         if let Some(conn) = self.carriers.remove(&ticket) {
-            conn.link.borrow_mut().give_up(ticket, self.may_cancel);
+            let part = conn.link.borrow_mut().give_up(ticket, self.may_cancel);
+            if let Some((id, back)) = part {
+                let record = || Record::of_part(Step::Cancelled, &id).on(conn.number).detail(back.into());
+                self.recorder.note(record);
+            }
             if conn.link.borrow().unheard() as usize >= self.live.get().transport.unheard {
                 // It may be open and dead: what is out there may still end, the next call opens another.
                 conn.silent.set(true);
                 conn.shut.set(true);
+                self.recorder.note(|| Record::of(Step::Shut, 0).on(conn.number).detail(1));
             }
             conn.bell.notify_one();
         }
@@ -167,12 +177,12 @@
     }
 
     /// A connection has ended: what was out on it.
-    pub fn ended(&mut self, conn: &Rc<Conn>) -> Lost {
-        if let Some(pool) = self.by_replica.get_mut(&conn.replica) {
-            pool.retain(|other| other.number != conn.number);
-            if pool.is_empty() {
-                self.by_replica.remove(&conn.replica);
-            }
+    pub fn ended(&mut self, replica: ReplicaId, number: u64) -> Lost {
+        let Some(pool) = self.by_replica.get_mut(&replica) else { return Lost::default() };
+        let Some(place) = pool.iter().position(|conn| conn.number == number) else { return Lost::default() };
+        let conn = pool.remove(place);
+        if pool.is_empty() {
+            self.by_replica.remove(&replica);
         }
         let lost = conn.link.take().lost();
         let unsent = lost.unsent.iter().flatten().map(|part| part.ticket);
@@ -198,6 +208,7 @@
     counters: Rc<Counters>,
     to_core: mpsc::Sender<Message>,
     log: Logger,
+    recorder: Rc<Recorder>,
     /// Where every connection reads to: a connection that rests holds no buffer of its own.
     scratch: Rc<RefCell<Vec<u8>>>,
 }
@@ -222,14 +233,19 @@
             "name" => &self.conn.peer.name, "age_ms" => begun.elapsed().as_millis() as u64,
             "calls" => self.conn.calls.get(), "parts" => self.conn.parts.get(), "lost" => out, "late" => late,
             "in" => bytes_in, "out" => bytes_out, "reason" => %reason);
+        self.recorder.note(|| Record::of(Step::Ended, 0).on(self.conn.number).with(out as u64));
         // The receiver is there as long as the program serves.
-        let _ = self.to_core.send(Message::ConnEnded(self.conn.clone())).await;
+        let _ = self
+            .to_core
+            .send(Message::ConnEnded { replica: self.conn.replica, number: self.conn.number })
+            .await;
     }
 
     /// Reads and writes until the connection ends; says why it did.
     async fn serve(&self, stream: &TcpStream, bytes_in: &mut u64, bytes_out: &mut u64) -> Reason {
         // Without it frames would wait for acknowledgements; the connection works all the same.
         let _ = stream.set_nodelay(true);
+        self.recorder.note(|| Record::of(Step::Up, 0).on(self.conn.number));
         let link = &self.conn.link;
         let mut last = Instant::now();
         // When the frame that has begun to come did so.
@@ -300,10 +316,12 @@
                     *bytes_in += count as u64;
                     self.counters.connections.server_bytes_in.more(count as u64);
                     *last = Instant::now();
+                    let number = self.conn.number;
+                    self.recorder.note(|| Record::of(Step::BytesRead, 0).on(number).with(count as u64));
                     let (late, frames) = (link.borrow().late, link.borrow().frames());
                     link.borrow_mut().feed(&self.scratch.borrow()[..count]);
                     loop {
-                        let landed = link.borrow_mut().next_landed();
+                        let landed = link.borrow_mut().next_landed(|heard| self.heard(heard));
                         match landed {
                             Ok(Some(landed)) => {
                                 // The receiver is there as long as the program serves.
@@ -328,6 +346,29 @@
         None
     }
 
+    fn heard(&self, heard: Heard<'_>) {
+        self.recorder.note(|| {
+            let end = match heard.end {
+                _ if heard.late => 3,
+                End::Served => 0,
+                End::Error => 1,
+                End::TurnedAway => 2,
+            };
+            Record::of_part(Step::Heard, heard.id).on(self.conn.number).detail(end)
+        });
+    }
+
+    fn wrote(&self, what: Wrote<'_>) {
+        self.recorder.note(|| {
+            let record = match what {
+                Wrote::Begun(id) => Record::of_part(Step::FirstByte, id),
+                Wrote::Whole(id, parts) => Record::of_part(Step::LastByte, id).with(parts as u64),
+                Wrote::GaveUp(id) => Record::of_part(Step::CancelWritten, id),
+            };
+            record.on(self.conn.number)
+        });
+    }
+
     fn write(&self, stream: &TcpStream, bytes_out: &mut u64, last: &mut Instant) -> std::io::Result<()> {
         loop {
             let wrote = {
@@ -341,7 +382,7 @@
             };
             match wrote {
                 Ok(count) => {
-                    self.conn.link.borrow_mut().wrote(count);
+                    self.conn.link.borrow_mut().wrote(count, |what| self.wrote(what));
                     *bytes_out += count as u64;
                     self.counters.connections.server_bytes_out.more(count as u64);
                     *last = Instant::now();
--- a/crates/node/tests/host.rs
+++ b/crates/node/tests/host.rs
@@ -58,6 +58,7 @@
                     }
                     Order::Reply(id, reply) => self.replies.push((id, reply)),
                     Order::Watch => self.watches += 1,
+                    Order::Stray(attempts) => panic!("{attempts} attempts out of queries that are over"),
                     Order::Remark(_) | Order::Retire(_) => {}
                 }
             }
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -100,6 +100,28 @@
     }
 }
 
+/// What became of a frame, told as bytes are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrote<'a> {
+    /// The first byte of the frame that holds the part of this id.
+    Begun(&'a str),
+    /// The last byte of the frame that holds the part of this id, and how many parts it holds.
+    Whole(&'a str, usize),
+    /// The frame that gives the part of this id up, whole.
+    GaveUp(&'a str),
+}
+
+/// An answer that was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard<'a> {
+    /// The part's id.
+    pub id: &'a str,
+    /// How the index server ended it.
+    pub end: End,
+    /// Its attempt had ended before.
+    pub late: bool,
+}
+
 /// What was out on a connection that has ended.
 #[derive(Debug, Default, PartialEq)]
 pub struct Lost {
@@ -158,9 +180,10 @@
     }
 
     /// Gives an attempt up, and says so to the index server where that is allowed. A call of which nothing is
-    /// written yet goes out without the part, and not at all without any.
-    pub fn give_up(&mut self, ticket: Ticket, say: bool) {
-        let Some(id) = self.names.remove(&ticket) else { return };
+    /// written yet goes out without the part, and not at all without any. Says which part it was, and whether it
+    /// was taken back unwritten.
+    pub fn give_up(&mut self, ticket: Ticket, say: bool) -> Option<(String, bool)> {
+        let id = self.names.remove(&ticket)?;
         self.open.remove(&id);
         let unwritten = self.unwritten.remove(&ticket);
         let whole = usize::from(self.begun > 0);
@@ -176,13 +199,14 @@
                 frame.bytes = frame_of(&frame.starts);
                 self.waiting += frame.bytes.len();
             }
-            return;
+            return Some((id, true));
         }
         self.unheard += 1;
         if say {
             self.push(give_up(&id), Vec::new());
         }
         self.forgot |= self.given_up.keep(&id, MOST_GIVEN_UP);
+        Some((id, false))
     }
 
     /// Bytes that wait to be written.
@@ -204,16 +228,35 @@
         }
     }
 
-    /// So many bytes of it have been written.
-    pub fn wrote(&mut self, bytes: usize) {
-        self.begun += bytes;
-        while let Some(frame) = self.out.front().filter(|frame| frame.bytes.len() <= self.begun) {
-            self.begun -= frame.bytes.len();
+    /// So many bytes of it have been written; `tell` hears what became of each part and frame by that.
+    pub fn wrote(&mut self, bytes: usize, mut tell: impl FnMut(Wrote<'_>)) {
+        if bytes == 0 {
+            return;
+        }
+        let before = std::mem::replace(&mut self.begun, 0);
+        let mut left = before + bytes;
+        let mut untouched = before == 0;
+        while let Some(frame) = self.out.front().filter(|_| left > 0) {
+            if untouched {
+                frame.starts.iter().for_each(|part| tell(Wrote::Begun(&part.id)));
+            }
+            if frame.bytes.len() > left {
+                self.begun = left;
+                return;
+            }
+            left -= frame.bytes.len();
             self.waiting -= frame.bytes.len();
             for part in &frame.starts {
                 self.unwritten.remove(&part.ticket);
+                tell(Wrote::Whole(&part.id, frame.starts.len()));
+            }
+            if let (true, Some(Ok(id))) =
+                (frame.starts.is_empty(), frame.bytes.get(5..).map(std::str::from_utf8))
+            {
+                tell(Wrote::GaveUp(id));
             }
             self.out.pop_front();
+            untouched = true;
         }
     }
 
@@ -223,8 +266,9 @@
         self.frames.feed(bytes);
     }
 
-    /// The next answer to an attempt that is out. After an error the connection is of no more use.
-    pub fn next_landed(&mut self) -> Result<Option<Landed>, BadFrame> {
+    /// The next answer to an attempt that is out; `tell` hears of every answer. After an error the connection is
+    /// of no more use.
+    pub fn next_landed(&mut self, mut tell: impl FnMut(Heard<'_>)) -> Result<Option<Landed>, BadFrame> {
         while let Some(frame) = self.frames.next_frame()? {
             let Frame::Ended { id, end, score, value } = frame else { return Err(BadFrame::Rejected) };
             if let Some(ticket) = self.open.get(&id).copied() {
@@ -235,12 +279,14 @@
                 self.names.remove(&ticket);
                 self.answered.keep(&id, MOST_ANSWERED);
                 self.served = true;
+                tell(Heard { id: &id, end, late: false });
                 return Ok(Some(Landed { ticket, end, score, value }));
             }
             if !self.given_up.drop(&id) && !self.answered.has(&id) && !self.forgot {
                 return Err(BadFrame::Unknown);
             }
             self.late += 1;
+            tell(Heard { id: &id, end, late: true });
         }
         Ok(None)
     }
--- a/crates/protocol/tests/link.rs
+++ b/crates/protocol/tests/link.rs
@@ -24,7 +24,7 @@
     link.gather(&mut slices, 64);
     slices.iter().for_each(|slice| bytes.extend_from_slice(slice));
     bytes.truncate(most);
-    link.wrote(bytes.len());
+    link.wrote(bytes.len(), |_| {});
     bytes
 }
 
@@ -57,7 +57,7 @@
         let mut all = Vec::new();
         for piece in pieces {
             link.feed(piece);
-            while let Some(landed) = link.next_landed().expect("good frames") {
+            while let Some(landed) = link.next_landed(|_| {}).expect("good frames") {
                 all.push(landed);
             }
         }
@@ -87,7 +87,7 @@
         link.feed(&frame(b'5', &format!("{id} S {score} -\nv")));
     }
     let mut scores = Vec::new();
-    while let Some(landed) = link.next_landed().expect("good frames") {
+    while let Some(landed) = link.next_landed(|_| {}).expect("good frames") {
         scores.push(landed.score);
     }
     assert!(scores[0] > scores[1] && scores[1] > scores[3] && scores[3] > scores[2]);
@@ -110,14 +110,14 @@
     for (bytes, wanted) in cases {
         let mut link = open_link(&["q.3"]);
         link.feed(&bytes);
-        assert_eq!(link.next_landed(), Err(wanted), "for {bytes:?}");
+        assert_eq!(link.next_landed(|_| {}), Err(wanted), "for {bytes:?}");
         assert_eq!(link.lost().out, vec![(1, true)], "the open attempt is still accounted for");
     }
     let mut link = open_link(&["q.3"]);
     let mut bytes = frame(b'5', "q.3 S 1 -\nv?");
     *bytes.last_mut().expect("a byte") = 0xff;
     link.feed(&bytes);
-    assert_eq!(link.next_landed(), Err(BadFrame::Value));
+    assert_eq!(link.next_landed(|_| {}), Err(BadFrame::Value));
 }
 
 #[test]
@@ -159,13 +159,13 @@
         "a second attempt would be mistaken for the first"
     );
     link.feed(&frame(b'5', "q.3 S 1 -\nlate"));
-    assert_eq!(link.next_landed(), Ok(None));
+    assert_eq!(link.next_landed(|_| {}), Ok(None));
     assert_eq!(link.late, 1);
     assert!(link.is_free("q.3"));
     assert_eq!(link.call(vec![sending(3, "q.3")]), Vec::<u64>::new());
     write(&mut link, usize::MAX);
     link.feed(&frame(b'5', "q.3 S 1 -\nvalue"));
-    let landed = link.next_landed().expect("a good frame").expect("an answer");
+    let landed = link.next_landed(|_| {}).expect("a good frame").expect("an answer");
     assert_eq!((landed.ticket, landed.value.as_str()), (3, "value"));
 }
 
@@ -175,7 +175,7 @@
     link.give_up(1, false);
     assert_eq!((link.open(), link.waiting(), link.is_free("q.3")), (0, 0, false));
     link.feed(&frame(b'5', "q.3 S 1 -\nlate"));
-    assert_eq!((link.next_landed(), link.late), (Ok(None), 1));
+    assert_eq!((link.next_landed(|_| {}), link.late), (Ok(None), 1));
 }
 
 #[test]
@@ -193,7 +193,7 @@
     }
     // The oldest are forgotten: their answers are late ones too, and no fault.
     link.feed(&frame(b'5', "q0.1 S 1 -\nlate"));
-    assert_eq!(link.next_landed(), Ok(None));
+    assert_eq!(link.next_landed(|_| {}), Ok(None));
     assert_eq!((link.late, link.open()), (1, 0));
 }
 
@@ -205,7 +205,7 @@
         for piece in pieces {
             link.feed(piece);
             loop {
-                match link.next_landed() {
+                match link.next_landed(|_| {}) {
                     Ok(Some(landed)) => values.push(landed.value),
                     Ok(None) => break,
                     Err(error) => return (values, Err(error)),
@@ -263,10 +263,10 @@
 fn a_second_copy_is_not_taken_for_the_answer_to_a_later_attempt() {
     let mut link = open_link(&["q.3"]);
     link.feed(&frame(b'5', "q.3 E 0 -\n"));
-    assert!(link.next_landed().expect("a good frame").is_some());
+    assert!(link.next_landed(|_| {}).expect("a good frame").is_some());
     assert!(!link.is_free("q.3"), "the part may go out elsewhere");
     link.feed(&frame(b'5', "q.3 E 0 -\n"));
-    assert_eq!((link.next_landed(), link.late), (Ok(None), 1));
+    assert_eq!((link.next_landed(|_| {}), link.late), (Ok(None), 1));
 }
 
 #[test]
@@ -274,7 +274,7 @@
     let mut link = Link::default();
     link.call(vec![sending(1, "q.3")]);
     link.feed(&frame(b'5', "q.3 S 1 -\nvalue"));
-    assert_eq!(link.next_landed(), Err(BadFrame::Unknown));
+    assert_eq!(link.next_landed(|_| {}), Err(BadFrame::Unknown));
     assert_eq!(link.lost().out, vec![(1, false)], "the attempt is still accounted for: it never ran");
 }
 
@@ -300,7 +300,7 @@
         let mut link = open_link(&["q.1"]);
         if served {
             link.feed(&frame(b'5', "q.1 S 1 -\nvalue"));
-            assert!(link.next_landed().expect("a good frame").is_some());
+            assert!(link.next_landed(|_| {}).expect("a good frame").is_some());
         }
         link.call(vec![sending(7, "q.7")]);
         write(&mut link, 5);
