No copies into a silence of all: nobody is late by it; stand-ins become a crate

- Two decision tests, both fail without the change.
- crates/standins: the stand-ins of the node's tests, and an index server with bounded places, work times, drain and cold start that stops reading on demand and stamps each frame when it is read.

--- a/crates/node/tests/reload.rs
+++ b/crates/node/tests/reload.rs
@@ -1,16 +1,15 @@
 //! A new configuration while the program serves: SIGHUP with good, broken and missing files.
 
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
 mod common;
 
 use common::{config_json, entry, list};
+use pinetrestle_standins::{eventually, query, Discovery, Doing, Program, Server};
 use serde_json::{json, Value};
-use stand_ins::{eventually, query, Discovery, Doing, Program, Server};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
+const NODE: &str = env!("CARGO_BIN_EXE_pinetrestle-node");
+
 fn entries(servers: &[Server]) -> Vec<Value> {
     let each = servers.iter().enumerate();
     each.map(|(n, server)| entry(&format!("s{n}"), &server.address.to_string(), n as u32 % 3)).collect()
@@ -29,7 +28,7 @@
         let discovery = Discovery::start(entries(&servers));
         let known = list(1, &entries(&servers));
         let config = config_json("127.0.0.1:0", &discovery.address.to_string(), &known);
-        let program = Program::started(&config);
+        let program = Program::started(NODE, &config);
         let stage = Stage { servers, discovery, config, program };
         eventually("a watch stands", || stage.program.stats()["discovery"]["lists"].as_u64() >= Some(1));
         stage
@@ -42,7 +41,8 @@
     }
 
     fn serves(&self) {
-        let answer = stand_ins::Client::to(self.program.address).send(&query("all", &[0, 1, 2], 2000).1);
+        let answer =
+            pinetrestle_standins::Client::to(self.program.address).send(&query("all", &[0, 1, 2], 2000).1);
         assert_eq!(answer.status, 200, "{answer:?}");
     }
 
@@ -150,7 +150,7 @@
 #[test]
 fn what_can_change_does_and_what_cannot_is_named() {
     let stage = Stage::new();
-    let mut rests = stand_ins::Client::to(stage.program.address);
+    let mut rests = pinetrestle_standins::Client::to(stage.program.address);
     assert_eq!(rests.send("GET /health/live HTTP/1.1\r\n\r\n").status, 200);
     stage.program.reload(Some(&stage.with(|file| {
         file["transport"] = json!({"client_idle_ms": 50});
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -1,16 +1,15 @@
 //! The program among clients and index servers that misbehave, beside usual ones that are served.
 
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
 mod common;
 
 use common::{config_json, entry, list};
+use pinetrestle_standins::{eventually, query, Client, Discovery, Doing, Program, Server};
 use serde_json::{json, Value};
-use stand_ins::{eventually, query, Client, Discovery, Doing, Program, Server};
 use std::thread;
 use std::time::{Duration, Instant};
 
+const NODE: &str = env!("CARGO_BIN_EXE_pinetrestle-node");
+
 /// What a client that misbehaves is owed an error or a close within, from its connecting.
 const OWED: Duration = Duration::from_secs(3);
 
@@ -32,7 +31,7 @@
         let known = list(1, &entries(&servers));
         let mut config = config_json("127.0.0.1:0", &discovery.address.to_string(), &known);
         change(&mut config);
-        let program = Program::started(&config);
+        let program = Program::started(NODE, &config);
         Stage { servers, discovery, program }
     }
 
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -1,18 +1,17 @@
 //! The program started as it is in service, spoken to on sockets, with stand-ins around it.
 
-#[path = "common/stand_ins.rs"]
-mod stand_ins;
-
 mod common;
 
 use common::{config_json, entry, list};
-use serde_json::{json, Value};
-use stand_ins::{
+use pinetrestle_standins::{
     eventually, query, start_badly, start_badly_with, Client, Discovery, Doing, Program, Server, Telling,
 };
+use serde_json::{json, Value};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
+const NODE: &str = env!("CARGO_BIN_EXE_pinetrestle-node");
+
 /// Six index servers, two in each of three cells, with discovery and a front node.
 struct Stage {
     servers: Vec<Server>,
@@ -32,7 +31,7 @@
         let known = list(1, &entries(&servers));
         let mut config = config_json("127.0.0.1:0", &discovery.address.to_string(), &known);
         change(&mut config);
-        let program = Program::started(&config);
+        let program = Program::started(NODE, &config);
         Stage { servers, discovery, program }
     }
 
@@ -328,7 +327,7 @@
     discovery.telling(Telling::Nothing);
     let mut config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(1, &entries(&servers)));
     config["transport"] = json!({"discovery_answer_ms": 150});
-    let program = Program::started(&config);
+    let program = Program::started(NODE, &config);
     eventually("it is given up and asked for again", || discovery.watches() >= 2);
     assert!(program.reasons("discovery").contains(&"no_answer".to_owned()));
 }
@@ -338,7 +337,8 @@
     let servers: Vec<Server> = (0..3).map(|_| Server::start(Doing::Serving)).collect();
     let discovery = Discovery::start(entries(&servers));
     discovery.telling(Telling::Refusing);
-    let program = Program::start(&config_json("127.0.0.1:0", &discovery.address.to_string(), &list(0, &[])));
+    let program =
+        Program::start(NODE, &config_json("127.0.0.1:0", &discovery.address.to_string(), &list(0, &[])));
     assert_eq!(program.get("/health/live").0, 200);
     assert_eq!(program.get("/health/ready").0, 503);
     discovery.telling(Telling::Well);
@@ -476,7 +476,7 @@
     stage.program.kill();
     let known = list(1, &entries(&stage.servers));
     let config = config_json(&address.to_string(), &stage.discovery.address.to_string(), &known);
-    stage.program = Program::started(&config);
+    stage.program = Program::started(NODE, &config);
     assert_eq!(stage.program.address, address);
     assert_eq!(stage.client().send(&query("all", &[0, 1, 2], 2000).1).status, 200);
 }
@@ -504,7 +504,7 @@
     let servers: Vec<Server> = (0..3).map(|_| Server::start(Doing::Serving)).collect();
     let discovery = Discovery::start(entries(&servers));
     let config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(1, &entries(&servers)));
-    let program = Program::start_under("ulimit -n 72", &config);
+    let program = Program::start_under("ulimit -n 72", NODE, &config);
     let _flood: Vec<Client> = (0..100).map(|_| Client::to(program.address)).collect();
     let answer = Client::to(program.address).send(&query("all", &[0, 1, 2], 2000).1);
     assert_eq!(answer.status, 200, "{answer:?}");
@@ -637,28 +637,28 @@
     for (place, value, key) in cases {
         let mut config = good();
         *config.pointer_mut(place).expect("the key is there") = value;
-        let (code, said) = start_badly(&config);
+        let (code, said) = start_badly(NODE, &config);
         assert_eq!(code, Some(2), "{said}");
         assert!(said.contains(&format!("'{key}'")), "{key}: {said}");
     }
     let mut config = good();
     config["transport"] = json!({"requst_ms": 5});
-    assert!(start_badly(&config).1.contains("'transport.requst_ms' is not known"));
+    assert!(start_badly(NODE, &config).1.contains("'transport.requst_ms' is not known"));
     config["transport"] = json!({"request_ms": 0});
-    assert!(start_badly(&config).1.contains("'transport.request_ms'"));
+    assert!(start_badly(NODE, &config).1.contains("'transport.request_ms'"));
 }
 
 #[test]
 fn the_environment_stands_in_for_keys_that_the_file_lacks_and_for_no_others() {
     let mut config = config_json("127.0.0.1:0", "127.0.0.1:1", &list(0, &[]));
     config["seed"] = json!("zz");
-    let (_, said) = start_badly_with(&config, &[("RELAY_LISTEN", "nowhere")]);
+    let (_, said) = start_badly_with(NODE, &config, &[("RELAY_LISTEN", "nowhere")]);
     assert!(said.contains("'seed'"), "the file's own address holds: {said}");
     config.as_object_mut().expect("an object").remove("listen");
-    let (code, said) = start_badly_with(&config, &[("RELAY_LISTEN", "nowhere")]);
+    let (code, said) = start_badly_with(NODE, &config, &[("RELAY_LISTEN", "nowhere")]);
     assert_eq!(code, Some(2));
     assert!(said.contains("'listen'"), "{said}");
-    let (_, said) = start_badly_with(&config, &[("RELAY_LISTEN", "127.0.0.1:0")]);
+    let (_, said) = start_badly_with(NODE, &config, &[("RELAY_LISTEN", "127.0.0.1:0")]);
     assert!(said.contains("'seed'"), "{said}");
 }
 
@@ -666,7 +666,7 @@
 fn an_address_in_use_ends_the_program_with_a_word() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = taken.local_addr().expect("an address").to_string();
-    let (code, said) = start_badly(&config_json(&address, "127.0.0.1:1", &list(0, &[])));
+    let (code, said) = start_badly(NODE, &config_json(&address, "127.0.0.1:1", &list(0, &[])));
     assert_eq!(code, Some(1));
     assert!(said.contains(&address), "{said}");
 }
@@ -677,7 +677,7 @@
     let servers: Vec<Server> = (0..3).map(|_| Server::start(Doing::Serving)).collect();
     let discovery = Discovery::start(entries(&servers));
     let config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(1, &entries(&servers)));
-    let program = stand_ins::Unread::start(&config);
+    let program = pinetrestle_standins::Unread::start(NODE, &config);
     // Each connection leaves a line of over a hundred bytes; the pipe holds 64 KiB.
     for _ in 0..2500 {
         Client::to(program.address).send("GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n");
--- /dev/null
+++ b/crates/standins/src/discovery.rs
@@ -0,0 +1,137 @@
+//! Discovery.
+
+use crate::words::{read_head, BOUND};
+use serde_json::{json, Value};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How it answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Telling {
+    /// As it should.
+    Well,
+    /// Not at all.
+    Nothing,
+    /// With a status of 503.
+    Refusing,
+    /// With lines that are no list.
+    Rubbish,
+}
+
+struct Told {
+    telling: Telling,
+    index: u64,
+    entries: Vec<Value>,
+    watches: u64,
+    /// Watches begun before this number of drops are over.
+    drops: u64,
+}
+
+/// A discovery service.
+pub struct Discovery {
+    /// Where it listens.
+    pub address: SocketAddr,
+    told: Arc<Mutex<Told>>,
+}
+
+impl Discovery {
+    /// Starts one that tells these entries.
+    pub fn start(entries: Vec<Value>) -> Discovery {
+        Discovery::start_at("127.0.0.1:0", entries)
+    }
+
+    /// The same at an address.
+    pub fn start_at(address: &str, entries: Vec<Value>) -> Discovery {
+        let listener = TcpListener::bind(address).expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let told = Told { telling: Telling::Well, index: 1, entries, watches: 0, drops: 0 };
+        let told = Arc::new(Mutex::new(told));
+        let shared = told.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let told = shared.clone();
+                thread::spawn(move || Discovery::watch(stream, &told));
+            }
+        });
+        Discovery { address, told }
+    }
+
+    fn watch(stream: TcpStream, told: &Mutex<Told>) -> Option<()> {
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        let head = read_head(&mut reader)?;
+        assert!(head[0].starts_with("GET /registry/instances?watch=1&after="), "{}", head[0]);
+        let (telling, drops) = {
+            let mut told = told.lock().expect("no panic");
+            told.watches += 1;
+            (told.telling, told.drops)
+        };
+        let mut stream = stream;
+        match telling {
+            Telling::Refusing => {
+                stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").ok()?;
+                return None;
+            }
+            Telling::Nothing => {
+                thread::sleep(BOUND);
+                return None;
+            }
+            Telling::Well | Telling::Rubbish => {}
+        }
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+        let mut sent = 0;
+        let mut beat = Instant::now();
+        loop {
+            let (line, over) = {
+                let told = told.lock().expect("no panic");
+                let list = json!({"index": told.index, "snapshot": true, "endpoints": told.entries});
+                let news = told.index != sent;
+                sent = told.index;
+                (news.then(|| list.to_string()), told.drops != drops)
+            };
+            if over {
+                return None;
+            }
+            let line = match line {
+                Some(_) if telling == Telling::Rubbish => "this is no list".to_owned(),
+                Some(line) => line,
+                None if beat.elapsed() > Duration::from_millis(500) => String::new(),
+                None => {
+                    thread::sleep(Duration::from_millis(5));
+                    continue;
+                }
+            };
+            beat = Instant::now();
+            // In two chunks, as it may come.
+            let text = format!("{line}\n");
+            let (a, b) = text.split_at(text.len() / 2);
+            for part in [a, b].iter().filter(|part| !part.is_empty()) {
+                write!(stream, "{:x}\r\n{part}\r\n", part.len()).ok()?;
+            }
+        }
+    }
+
+    /// From now on it answers new watches so.
+    pub fn telling(&self, telling: Telling) {
+        self.told.lock().expect("no panic").telling = telling;
+    }
+
+    /// From now on it tells these entries.
+    pub fn tell(&self, entries: Vec<Value>) {
+        let mut told = self.told.lock().expect("no panic");
+        told.entries = entries;
+        told.index += 1;
+    }
+
+    /// Ends every watch there is.
+    pub fn drop_watches(&self) {
+        self.told.lock().expect("no panic").drops += 1;
+    }
+
+    /// Watches that were begun, all of them.
+    pub fn watches(&self) -> u64 {
+        self.told.lock().expect("no panic").watches
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,27 @@
+//! Stand-ins for the outside systems of a front node, and the program under test.
+//!
+//! Written from the protocol page alone, with parsers of their own, so that a fault of the front node's parsers shows.
+//! Everything listens on 127.0.0.1 at a port that the kernel picks, runs on threads of its own and ends with the
+//! process. A library for tests and measurements, never a dependency of what is tested.
+//!
+//! | stand-in | what it does |
+//! | --- | --- |
+//! | [`Discovery`] | tells the list and its changes over watches; or nothing, or rubbish |
+//! | [`Server`] | an index server that answers at once, late, badly, or not at all ([`Doing`]) |
+//! | [`Stamping`] | an index server with bounded places a connection, work times, drain and cold start, that stops reading on demand and stamps each frame when it is read |
+//! | [`Client`] | asks one query at a time |
+//! | [`Program`] | starts a front node, reads its log, sends it signals |
+
+mod clients;
+mod discovery;
+mod program;
+mod servers;
+mod stamping;
+mod words;
+
+pub use clients::{query, Answer, Client};
+pub use discovery::{Discovery, Telling};
+pub use program::{start_badly, start_badly_with, word, Program, Unread};
+pub use servers::{Doing, PartSeen, Server};
+pub use stamping::{Seen, Stamping, Work};
+pub use words::{entry, eventually, BOUND};
--- /dev/null
+++ b/crates/standins/src/program.rs
@@ -0,0 +1,233 @@
+//! The program under test.
+
+use crate::clients::Client;
+use crate::words::{eventually, BOUND};
+use serde_json::Value;
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A running front node.
+pub struct Program {
+    child: Child,
+    /// Where it listens.
+    pub address: SocketAddr,
+    lines: Arc<Mutex<Vec<String>>>,
+    file: tempfile::TempPath,
+}
+
+/// A program that can't start: its exit code and what it said.
+pub fn start_badly(program: &str, config: &Value) -> (Option<i32>, String) {
+    start_badly_with(program, config, &[])
+}
+
+/// The same with further variables in the environment.
+pub fn start_badly_with(program: &str, config: &Value, variables: &[(&str, &str)]) -> (Option<i32>, String) {
+    let file = write_config(config);
+    let mut child = Command::new(program)
+        .env("RELAY_CONFIG", &file)
+        .envs(variables.iter().copied())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let end = Instant::now() + BOUND;
+    while child.try_wait().expect("it can be asked").is_none() && Instant::now() < end {
+        thread::sleep(Duration::from_millis(5));
+    }
+    // One that serves all the same is ended here; it has no exit code then.
+    let _ = child.kill();
+    let output = child.wait_with_output().expect("it has ended");
+    let said = [output.stderr, output.stdout].concat();
+    (output.status.code(), String::from_utf8_lossy(&said).into_owned())
+}
+
+fn write_config(config: &Value) -> tempfile::TempPath {
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    file.write_all(config.to_string().as_bytes()).expect("written");
+    file.into_temp_path()
+}
+
+impl Program {
+    /// Starts it and waits until it says where it listens.
+    pub fn start(program: &str, config: &Value) -> Program {
+        Program::start_under("true", program, config)
+    }
+
+    /// Starts it from a shell in which this was done before.
+    pub fn start_under(first: &str, program: &str, config: &Value) -> Program {
+        let file = write_config(config);
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", &format!("{first}; exec {program}")])
+            .env("RELAY_CONFIG", &file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let output = child.stdout.take().expect("a pipe");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let shared = lines.clone();
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                shared.lock().expect("no panic").push(line);
+            }
+        });
+        let mut address = None;
+        eventually("the program says where it listens", || {
+            let lines = lines.lock().expect("no panic");
+            let line = lines.iter().find(|line| line.contains("msg=\"serving\""));
+            address = line.and_then(|line| word(line, "listen")).and_then(|text| text.parse().ok());
+            address.is_some()
+        });
+        Program { child, address: address.expect("an address"), lines, file }
+    }
+
+    /// Starts it and waits until it is ready.
+    pub fn started(program: &str, config: &Value) -> Program {
+        let program = Program::start(program, config);
+        eventually("ready", || program.get("/health/ready").0 == 200);
+        program
+    }
+
+    /// Asks for a path: status and body.
+    pub fn get(&self, path: &str) -> (u16, String) {
+        let answer = Client::to(self.address).send(&format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n"));
+        (answer.status, answer.body)
+    }
+
+    /// Its counters.
+    pub fn stats(&self) -> Value {
+        serde_json::from_str(&self.get("/stats").1).expect("JSON")
+    }
+
+    /// Reasons with which connections of a side have ended.
+    pub fn reasons(&self, side: &str) -> Vec<String> {
+        let lines = self.lines.lock().expect("no panic");
+        let ended = lines.iter().filter(|line| line.contains("msg=\"connection ended\""));
+        ended
+            .filter(|line| word(line, "side").as_deref() == Some(side))
+            .filter_map(|line| word(line, "reason"))
+            .collect()
+    }
+
+    /// Its log as far as it was written.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().expect("no panic").clone()
+    }
+
+    /// The most memory it has held, in kilobytes.
+    pub fn peak_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak");
+        line.split_whitespace().nth(1).and_then(|word| word.parse().ok()).expect("a number")
+    }
+
+    /// Sends it a signal, as `-USR1`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    /// Stops it where it is, as a machine that stalls does.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets it go on.
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Tells it to stop.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts another text in the place of the configuration file, or nothing, and says so.
+    pub fn reload(&self, text: Option<&str>) {
+        match text {
+            Some(text) => std::fs::write(&self.file, text).expect("written"),
+            None => std::fs::remove_file(&self.file).expect("removed"),
+        }
+        self.signal("-HUP");
+    }
+
+    /// How many lines of the log hold all of these words.
+    pub fn count(&self, words: &[&str]) -> usize {
+        self.lines().iter().filter(|line| words.iter().all(|word| line.contains(word))).count()
+    }
+
+    /// Ends it without a word.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("ended");
+    }
+
+    /// The exit code, once it has ended.
+    pub fn wait(&mut self) -> Option<i32> {
+        let mut code = None;
+        eventually("the program ends", || {
+            code = self.child.try_wait().expect("it can be asked");
+            code.is_some()
+        });
+        code.and_then(|code| code.code())
+    }
+
+    /// Whether it has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("it can be asked").is_none()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The value of a key in a line of the log.
+pub fn word(line: &str, key: &str) -> Option<String> {
+    let from = line.find(&format!(" {key}="))? + key.len() + 2;
+    let rest = &line[from..];
+    Some(rest.split(' ').next().unwrap_or_default().to_owned())
+}
+/// A program whose log is read up to the line that names its address, and never again.
+pub struct Unread {
+    child: Child,
+    /// Where it listens.
+    pub address: SocketAddr,
+    _output: BufReader<std::process::ChildStdout>,
+    _file: tempfile::TempPath,
+}
+
+impl Unread {
+    /// Starts it and reads its log up to that line.
+    pub fn start(program: &str, config: &Value) -> Unread {
+        let file = write_config(config);
+        let mut child = Command::new(program)
+            .env("RELAY_CONFIG", &file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut output = BufReader::new(child.stdout.take().expect("a pipe"));
+        let mut line = String::new();
+        while !line.contains("msg=\"serving\"") {
+            line.clear();
+            assert!(output.read_line(&mut line).expect("text") > 0, "it ended");
+        }
+        let address = word(&line, "listen").and_then(|text| text.parse().ok()).expect("an address");
+        Unread { child, address, _output: output, _file: file }
+    }
+}
+
+impl Drop for Unread {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/servers.rs
@@ -0,0 +1,217 @@
+//! An index server that answers at once, late, badly, or not at all.
+
+use crate::words::frame;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// What it does with a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Doing {
+    /// Answers with the shard as value and its number as score.
+    Serving,
+    /// The same, after a while.
+    ServingAfter(Duration),
+    /// Takes parts and says nothing.
+    Silent,
+    /// Says nothing more on the connections that it had by then, so many, and serves on others.
+    SilentUpTo(u64),
+    /// Answers with an error.
+    Failing,
+    /// Turns parts away.
+    Full,
+    /// Ends the connection once it has a frame.
+    EndingAfterFrame,
+    /// Says something that is no frame.
+    Babbling,
+    /// Answers for a part that nobody asked for.
+    Confused,
+    /// Ends the connection in the middle of an answer.
+    EndingWithin,
+    /// Stops in the middle of an answer and stays.
+    Stalling,
+    /// Says every answer twice.
+    Doubling,
+    /// Answers well and adds noise.
+    AddingNoise,
+    /// Answers well and ends the connection.
+    EndingAfterAnswer,
+}
+
+/// A part as it was read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PartSeen {
+    /// Its id.
+    pub id: String,
+    /// Its shard.
+    pub shard: u32,
+    /// Its list.
+    pub list: String,
+    /// The text it carries.
+    pub text: String,
+}
+
+struct Acts {
+    doing: Doing,
+    seen: Vec<PartSeen>,
+    given_up: Vec<String>,
+    connections: u64,
+}
+
+/// An index server.
+#[derive(Clone)]
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    acts: Arc<Mutex<Acts>>,
+}
+
+/// Reads a call's parts by hand, as the page has it.
+pub(crate) fn parts(mut rest: &[u8]) -> Vec<PartSeen> {
+    let mut all = Vec::new();
+    while !rest.is_empty() {
+        let end = rest.iter().position(|byte| *byte == b'\n').expect("a line");
+        let line = std::str::from_utf8(&rest[..end]).expect("text");
+        let words: Vec<&str> = line.split(' ').collect();
+        assert_eq!(words.len(), 4, "{line}");
+        let length: usize = words[3].parse().expect("a length");
+        let text = &rest[end + 1..end + 1 + length];
+        all.push(PartSeen {
+            id: words[0].into(),
+            shard: words[1].parse().expect("a shard"),
+            list: words[2].into(),
+            text: String::from_utf8(text.to_vec()).expect("text"),
+        });
+        rest = &rest[end + 1 + length..];
+    }
+    all
+}
+
+impl Server {
+    /// Starts one.
+    pub fn start(doing: Doing) -> Server {
+        Server::start_at("127.0.0.1:0", doing)
+    }
+
+    /// The same at an address.
+    pub fn start_at(address: &str, doing: Doing) -> Server {
+        let listener = TcpListener::bind(address).expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let acts = Acts { doing, seen: Vec::new(), given_up: Vec::new(), connections: 0 };
+        let acts = Arc::new(Mutex::new(acts));
+        let shared = acts.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let acts = shared.clone();
+                let number = {
+                    let mut acts = shared.lock().expect("no panic");
+                    acts.connections += 1;
+                    acts.connections
+                };
+                thread::spawn(move || Server::serve(stream, &acts, number));
+            }
+        });
+        Server { address, acts }
+    }
+
+    fn serve(stream: TcpStream, acts: &Mutex<Acts>, number: u64) -> Option<()> {
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        let writer = Arc::new(Mutex::new(stream));
+        loop {
+            let mut length = [0; 4];
+            reader.read_exact(&mut length).ok()?;
+            let mut body = vec![0; u32::from_be_bytes(length) as usize];
+            reader.read_exact(&mut body).ok()?;
+            if body[0] == b'2' {
+                let id = String::from_utf8(body[1..].to_vec()).expect("an id");
+                acts.lock().expect("no panic").given_up.push(id);
+                continue;
+            }
+            assert_eq!(body[0], b'1');
+            let parts = parts(&body[1..]);
+            let doing = {
+                let mut acts = acts.lock().expect("no panic");
+                acts.seen.extend(parts.clone());
+                acts.doing.clone()
+            };
+            let say = |end: &str, value: bool| {
+                let mut bytes = Vec::new();
+                for part in &parts {
+                    let value = if value { format!("value of {}", part.id) } else { String::new() };
+                    bytes.extend(frame(
+                        b'5',
+                        format!("{} {end} {} -\n{value}", part.id, part.shard).as_bytes(),
+                    ));
+                }
+                bytes
+            };
+            let bytes = match doing {
+                Doing::Serving => say("S", true),
+                Doing::ServingAfter(wait) => {
+                    let (bytes, writer) = (say("S", true), writer.clone());
+                    thread::spawn(move || {
+                        thread::sleep(wait);
+                        // The front node may have given up meanwhile.
+                        let _ = writer.lock().expect("no panic").write_all(&bytes);
+                    });
+                    continue;
+                }
+                Doing::Silent => continue,
+                Doing::SilentUpTo(old) if number <= old => continue,
+                Doing::SilentUpTo(_) => say("S", true),
+                Doing::Failing => say("E", false),
+                Doing::Full => say("B", false),
+                Doing::EndingAfterFrame => {
+                    let writer = writer.lock().expect("no panic");
+                    writer.shutdown(std::net::Shutdown::Both).ok()?;
+                    return None;
+                }
+                Doing::Stalling => {
+                    let mut bytes = say("S", true);
+                    bytes.truncate(bytes.len() - 3);
+                    bytes
+                }
+                Doing::Doubling => say("S", true).repeat(2),
+                Doing::AddingNoise => [say("S", true), vec![0xff; 64]].concat(),
+                Doing::EndingAfterAnswer => {
+                    let mut writer = writer.lock().expect("no panic");
+                    writer.write_all(&say("S", true)).ok()?;
+                    writer.shutdown(std::net::Shutdown::Both).ok()?;
+                    return None;
+                }
+                Doing::Babbling => b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec(),
+                Doing::Confused => frame(b'5', b"nobody.1 S 1 -\nv"),
+                Doing::EndingWithin => {
+                    let bytes = say("S", true);
+                    let mut writer = writer.lock().expect("no panic");
+                    writer.write_all(&bytes[..bytes.len() - 3]).ok()?;
+                    writer.shutdown(std::net::Shutdown::Both).ok()?;
+                    return None;
+                }
+            };
+            writer.lock().expect("no panic").write_all(&bytes).ok()?;
+        }
+    }
+
+    /// From now on it does this.
+    pub fn doing(&self, doing: Doing) {
+        self.acts.lock().expect("no panic").doing = doing;
+    }
+
+    /// All parts it was sent.
+    pub fn seen(&self) -> Vec<PartSeen> {
+        self.acts.lock().expect("no panic").seen.clone()
+    }
+
+    /// Ids of the parts that were given up.
+    pub fn given_up(&self) -> Vec<String> {
+        self.acts.lock().expect("no panic").given_up.clone()
+    }
+
+    /// Connections that it took, all of them.
+    pub fn connections(&self) -> u64 {
+        self.acts.lock().expect("no panic").connections
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,6 +20,7 @@
 const LEAST_SAMPLES: usize = 8; // fewer say nothing
 const LATE_RATIO: f64 = 4.0; // an attempt is never overdue before this multiple of the typical latency
 const LATE_SHARE: f64 = 0.5; // nor after this share of the aim
+const HUSH: f64 = 2.0; // nobody answers for this multiple of the typical latency: a silence of all
 const SLOW_FROM: f64 = 2.0; // a replica this much slower than its peers counts for more
 const CONDEMNED: f64 = 4.0; // and from here on it is a last choice and logged
 const PACE_CAP: f64 = 40.0; // no observation makes a replica look slower than this
@@ -84,6 +85,8 @@
     ask_wait: Micros,
     wake_at: Option<Micros>,
     died_at: Option<Micros>, // when a replica was last found dying or dead
+    heard: Micros,           // when any replica last answered or dropped anything
+    hush: (Micros, Micros),  // the latest silence of all: from when till when
     actions: Vec<Action>,    // decided in this batch
 }
 
@@ -115,6 +118,7 @@
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
         self.round += 1;
+        self.listen();
         for event in events {
             self.absorb(event);
         }
@@ -231,6 +235,9 @@
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         let Some(flight) = self.flights.remove(&(part, attempt)) else { return };
         let overdue = self.overdue(&flight);
+        if !matches!(outcome, Outcome::Timeout | Outcome::Cancelled | Outcome::Moot) {
+            self.heard = self.now;
+        }
         let call_over = !self.flights.values().any(|other| other.call == flight.call);
         let seen = took.over(self.typical(flight.slot)).min(PACE_CAP);
         self.died_at = if outcome == Outcome::ConnectFailed { Some(self.now) } else { self.died_at };
@@ -283,11 +290,44 @@
         known.unwrap_or(self.set.classes[slot / 2].aim.times(0.125))
     }
 
+    /// A silence of all: more than half of the replicas in service owe us an answer, and no replica has given
+    /// any for longer than parts take. Then this machine, the network or whatever all depend on stands still,
+    /// and what is sent into it is read when it is over: nobody is late by it. Covers pauses of everything;
+    /// hurts where more than half of the replicas fall silent for good and all else is at rest.
+    fn listen(&mut self) {
+        let on = |id: &ReplicaId| self.replicas.get(id).is_some_and(|r| r.lifecycle == Lifecycle::On);
+        let mut owing: BTreeMap<ReplicaId, Micros> = BTreeMap::new();
+        let mut usual = Micros(0);
+        for flight in self.flights.values().filter(|flight| !flight.cancelled && on(&flight.replica)) {
+            let since = owing.entry(flight.replica).or_insert(flight.sent);
+            *since = flight.sent.min(*since);
+            usual = usual.max(self.typical(flight.slot));
+        }
+        let mut since: Vec<Micros> = owing.into_values().collect();
+        since.sort_unstable();
+        let half = self.replicas.keys().filter(|id| on(id)).count() / 2;
+        let from = since.get(half).map(|since| self.heard.max(*since));
+        if let Some(from) = from.filter(|from| self.now - *from > usual.times(HUSH)) {
+            self.hush = (from, self.now);
+        }
+    }
+
+    /// How long something has lasted, but for a silence of all.
+    fn lasted(&self, since: Micros) -> Micros {
+        let (from, till) = self.hush;
+        self.now - since - (till - from.max(since)).max(Micros(0))
+    }
+
+    /// Past this share of the aim a copy would come too late.
+    fn latest_copy(&self, slot: usize) -> Micros {
+        let class = &self.set.classes[slot / 2];
+        class.aim.times(if class.second_step > 0 { LATE_SHARE / 2.0 } else { LATE_SHARE })
+    }
+
     fn overdue_after(&self, slot: usize) -> Micros {
-        // Under strain later, as copies feed a jam; but past this share of the aim one would come too late.
+        // Under strain later, as copies feed a jam.
         let least = self.typical(slot).times(LATE_RATIO);
-        let class = &self.set.classes[slot / 2];
-        let most = class.aim.times(if class.second_step > 0 { LATE_SHARE / 2.0 } else { LATE_SHARE });
+        let most = self.latest_copy(slot);
         let strained = if self.limit.is_some() { least + least } else { least };
         let late = self.slots[slot].late.unwrap_or_default().times(1.1);
         least.max(strained.max(late).min(most))
@@ -298,9 +338,10 @@
     fn overdue(&self, flight: &Flight) -> bool {
         let Some(replica) = self.replicas.get(&flight.replica) else { return true };
         let restarted = replica.started.is_some_and(|at| at > flight.sent);
-        let age = self.now - flight.sent;
+        let (age, after) = (self.lasted(flight.sent), self.overdue_after(flight.slot));
         let soon = replica.factor >= CONDEMNED && age > self.typical(flight.slot);
-        restarted || replica.lifecycle == Lifecycle::Gone || soon || age > self.overdue_after(flight.slot)
+        let late = age > after || self.now - flight.sent > after.max(self.latest_copy(flight.slot));
+        restarted || replica.lifecycle == Lifecycle::Gone || soon || late
     }
 
     /// Sets each replica's factor: its pace against the median of all. Guards against servers that are
@@ -331,7 +372,7 @@
         let calls = self.calls.per_second(now, HALF_LIFE).max(EPS);
         self.gap = SECOND.times(paces.len() as f64 / calls).min(HALF_LIFE);
         for flight in self.flights.values().filter(|flight| !flight.cancelled) {
-            let silence = now - flight.sent.max(self.replicas[&flight.replica].last_ok);
+            let silence = self.lasted(flight.sent.max(self.replicas[&flight.replica].last_ok));
             let pace = paces.get_mut(&flight.replica).filter(|_| silence > self.overdue_after(flight.slot));
             if let Some(pace) = pace {
                 *pace = pace.max(silence.over(self.typical(flight.slot)).min(PACE_CAP));
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use pinetrestle::interface::*;
+use std::collections::BTreeSet;
 
 const WHOLE: bool = true;
 
@@ -621,6 +622,40 @@
     assert!(actions.contains(&Action::Cancel { part, attempt: 0 }));
 }
 
+#[test]
+fn in_a_silence_of_all_nothing_is_copied_and_after_it_all_get_their_usual_time() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    let (first, actions) = world.query(0, &[0, 1, 2, 3]);
+    let at: BTreeSet<ReplicaId> = sends(&actions).iter().map(|(_, replica)| *replica).collect();
+    assert!(at.len() > 2, "more than half of the replicas owe an answer: {at:?}");
+    // Nobody says anything for 480 ms, where 100 are usual and a copy is due after 400. Half the aim is 500.
+    for _ in 0..24 {
+        assert_eq!(sends(&world.wait(ms(20))), []);
+    }
+    let replica = world.out[&(first + 1, 0)].0;
+    world.end_all(Outcome::Ok, |id| id == replica);
+    // The others are not late by the silence: what comes within the usual time needs no copy.
+    assert_eq!(sends(&world.wait(ms(10))), []);
+    world.end_all(Outcome::Ok, |_| true);
+    // One replica silent while others answer is no silence of all.
+    let (_, actions) = world.query(0, &[0, 1, 2, 3]);
+    let silent = sends(&actions)[0].1;
+    world.now = world.now + ms(100);
+    world.end_all(Outcome::Ok, |id| id != silent);
+    let copies = (0..19).flat_map(|_| sends(&world.wait(ms(20)))).count();
+    assert!(copies > 0);
+}
+
+#[test]
+fn a_silence_of_all_that_lasts_is_copied_into_at_half_the_aim() {
+    let mut world = World::new(settings(), 4);
+    world.warm_up(20);
+    world.query(0, &[0, 1, 2, 3]);
+    let first = (1..50).find(|_| !sends(&world.wait(ms(20))).is_empty());
+    assert!((25..=27).contains(&first.unwrap_or(0)), "{first:?}");
+}
+
 #[test]
 fn an_overdue_part_of_an_n_of_k_class_is_answered_by_an_unsent_part_before_a_copy() {
     let mut world = World::new(settings(), 8);
