--- a/crates/node/src/flight.rs
+++ b/crates/node/src/flight.rs
@@ -160,3 +160,17 @@
         bell.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::path::Path;
+
+    #[test]
+    fn the_file_that_ships_is_good_and_takes_two_mebibytes() {
+        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/recorder.json5");
+        let flight: Flight = pinetrestle_operator::read(&file).expect("a good file");
+        assert_eq!(flight, Flight { records: 65_536, ..Flight::default() });
+        assert_eq!(std::mem::size_of::<pinetrestle_recorder::Record>(), pinetrestle_recorder::BYTES);
+    }
+}
--- /dev/null
+++ b/crates/node/tests/flight.rs
@@ -0,0 +1,144 @@
+//! The flight recorder of a running program: its operator file, when it writes, and what it wrote.
+
+mod common;
+
+use common::{config_json, list};
+use pinetrestle_recorder::{key_of, life, text, Record, Step};
+use pinetrestle_standins::{entry, eventually, query, Client, Discovery, Doing, Program, Server};
+use std::io::Write;
+use std::process::Command;
+
+const NODE: &str = env!("CARGO_BIN_EXE_pinetrestle-node");
+
+struct Stage {
+    servers: Vec<Server>,
+    program: Program,
+    _discovery: Discovery,
+    _file: tempfile::TempPath,
+}
+
+fn operator_file(text: &str) -> tempfile::TempPath {
+    let mut file = tempfile::Builder::new().suffix(".json5").tempfile().expect("a file");
+    file.write_all(text.as_bytes()).expect("written");
+    file.into_temp_path()
+}
+
+impl Stage {
+    fn new(recorder: &str) -> Stage {
+        let servers: Vec<Server> = (0..3).map(|_| Server::start(Doing::Serving)).collect();
+        let entries = servers.iter().enumerate();
+        let entries =
+            entries.map(|(n, server)| entry(&format!("s{n}"), &server.address.to_string(), n as u32));
+        let discovery = Discovery::start(entries.collect());
+        let config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(0, &[]));
+        let file = operator_file(recorder);
+        let program = Program::started(&format!("{NODE} --recorder {}", file.display()), &config);
+        Stage { servers, program, _discovery: discovery, _file: file }
+    }
+
+    fn records(&self) -> Vec<Record> {
+        text::read(self.program.lines().iter().map(String::as_str)).records
+    }
+
+    fn written(&self, at: &str) -> bool {
+        self.program.count(&["flight records written", &format!("at={at}")]) > 0
+    }
+}
+
+fn steps(records: &[Record], id: &str) -> Vec<Step> {
+    records.iter().filter(|record| record.query == key_of(id)).map(|record| record.step).collect()
+}
+
+#[test]
+fn at_sigusr1_the_log_has_each_query_s_life() {
+    let stage = Stage::new("{ records: 4096 }");
+    let (id, text) = query("all", &[0, 1], 2000);
+    assert_eq!(Client::to(stage.program.address).send(&text).status, 200);
+    stage.program.signal("-USR1");
+    eventually("the records are written", || stage.written("signal"));
+    let records = stage.records();
+    let steps = steps(&records, &id);
+    let count = |step| steps.iter().filter(|other| **other == step).count();
+    let parts = [Step::Decided, Step::InLine, Step::FirstByte, Step::LastByte, Step::Heard];
+    assert_eq!(parts.map(count), [2; 5], "{steps:?}");
+    let whole = [Step::Read, Step::Taken, Step::Reply, Step::ReplyWritten];
+    assert_eq!(whole.map(count), [1; 4], "{steps:?}");
+    assert_eq!((steps.first(), steps.last()), (Some(&Step::Read), Some(&Step::ReplyWritten)));
+    let life = life::print(&life::of_query(&records, key_of(&id)), key_of(&id));
+    assert!(life.contains("answer written  status 200") && life.contains("connection up"), "{life}");
+}
+
+#[test]
+fn a_client_that_leaves_and_what_was_given_up_are_there() {
+    let stage = Stage::new("{ records: 4096 }");
+    stage.servers.iter().for_each(|server| server.doing(Doing::Silent));
+    let (id, text) = query("all", &[0, 1, 2], 2000);
+    let mut client = Client::to(stage.program.address);
+    client.write(text.as_bytes());
+    eventually("it is sent", || stage.servers.iter().all(|server| server.seen().len() == 1));
+    drop(client);
+    eventually("it is given up", || stage.servers.iter().all(|server| server.given_up().len() == 1));
+    stage.program.signal("-USR1");
+    eventually("the records are written", || stage.written("signal"));
+    let steps = steps(&stage.records(), &id);
+    let count = |step| steps.iter().filter(|other| **other == step).count();
+    assert_eq!([Step::ClientEnd, Step::Cancelled, Step::CancelWritten].map(count), [1, 3, 3], "{steps:?}");
+    assert_eq!(count(Step::ReplyWritten), 0);
+}
+
+#[test]
+fn the_end_of_the_program_and_what_comes_meanwhile_are_written_where_that_is_set() {
+    let mut stage = Stage::new("{ records: 64, at_exit: true, follow_ms: 50 }");
+    let mut client = Client::to(stage.program.address);
+    let ids: Vec<String> = (0..20)
+        .map(|_| {
+            let (id, text) = query("all", &[0], 2000);
+            assert_eq!(client.send(&text).status, 200);
+            // More in all than the ring holds: each is followed before it is overwritten.
+            std::thread::sleep(std::time::Duration::from_millis(70));
+            id
+        })
+        .collect();
+    stage.program.terminate();
+    assert_eq!(stage.program.wait(), Some(0));
+    eventually("the end is written", || stage.written("exit"));
+    let records = stage.records();
+    for id in &ids {
+        assert_eq!(steps(&records, id).last(), Some(&Step::ReplyWritten), "{id}");
+    }
+}
+
+#[test]
+fn without_a_recorder_the_signal_does_no_harm() {
+    let servers = Server::start(Doing::Serving);
+    let discovery = Discovery::start(vec![entry("s0", &servers.address.to_string(), 0)]);
+    let config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(0, &[]));
+    let mut program = Program::started(NODE, &config);
+    program.signal("-USR1");
+    assert_eq!(program.get("/health/live").0, 200);
+    assert!(program.is_running());
+    assert_eq!(program.count(&["flight"]), 0);
+}
+
+#[test]
+fn a_bad_operator_file_ends_the_program_before_it_listens_and_names_the_mend() {
+    let config = config_json("127.0.0.1:0", "127.0.0.1:1", &list(0, &[]));
+    let config_file = operator_file(&config.to_string());
+    for (text, says) in [
+        ("{\n  recrods: 10,\n}", ":2: "),
+        ("{\n  recrods: 10,\n}", "write `records`"),
+        ("{\n  records: 'many',\n}", ":2: records"),
+        ("{\n  records: 99999999,\n}", "write 2097152 or less"),
+        ("{\n  records: 0,\n  at_exit: true }", "while other keys are set"),
+        ("{\n  records: 10,\n  follow_ms: 3 }", ":3: follow_ms is 3"),
+        ("{\n  records: 10\n  at_exit: true }", "put a comma"),
+    ] {
+        let file = operator_file(text);
+        let mut command = Command::new(NODE);
+        command.arg("--recorder").arg(&file).env("RELAY_CONFIG", &config_file);
+        let output = command.output().expect("it runs");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        assert!(said.contains(&file.display().to_string()) && said.contains(says), "{text}: {said}");
+    }
+}
