New queries wait while everything stands still and a moment after it

Cause, by the flight recorder: on churn (broken at 41.197 s) no server answered from 41.172 to 41.214 s; at 41.2151 s, in the bunch that followed, a query came and was sent in 30 us, and its client's end was read 2.5 ms later. What is sent into such a silence, or into the bunch after it, is read later than its query's end.

No answer is held back: nothing of such a query is decided by then.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,6 +21,7 @@
 const LATE_RATIO: f64 = 4.0; // an attempt is never overdue before this multiple of the typical latency
 const LATE_SHARE: f64 = 0.5; // nor after this share of the aim
 const HUSH: f64 = 2.0; // nobody answers for this multiple of the typical latency: a silence of all
+const SETTLE: Micros = Micros(10_000); // after one, what has piled up is read so long before it is acted on
 const SLOW_FROM: f64 = 2.0; // a replica this much slower than its peers counts for more
 const CONDEMNED: f64 = 4.0; // and from here on it is a last choice and logged
 const PACE_CAP: f64 = 40.0; // no observation makes a replica look slower than this
@@ -175,10 +176,20 @@
                 let stretch = hint.unwrap_or_default().times(settings.aim_stretch);
                 let aim = (settings.aim + stretch).min(settings.deadline) - waited;
                 let (id, number, class, tenant) = (*id, *number, *class, *tenant);
-                let (aim_at, end_at) = (self.now + aim, self.now + *expires_in);
+                let (came, aim_at, end_at) = (self.now, self.now + aim, self.now + *expires_in);
                 let (repeat, step) = (marks && *repeat, 1);
-                let query =
-                    Query { id, number, class, tenant, aim_at, end_at, repeat, step, ..Query::default() };
+                let query = Query {
+                    id,
+                    number,
+                    class,
+                    tenant,
+                    came,
+                    aim_at,
+                    end_at,
+                    repeat,
+                    step,
+                    ..Query::default()
+                };
                 // The final answer has a timer of its own, whatever else waits.
                 let left = self.stop_at(&query) - self.now;
                 self.actions.push(Action::Timer(left.max(Micros(0))));
@@ -488,8 +499,22 @@
         (if late { query.end_at } else { query.end_at.min(query.aim_at) }) - margin
     }
 
+    /// In a silence of all and just after it a new query waits, for a quarter of its aim at most: none reads
+    /// what is sent, and of the clients whose queries come in a bunch after it some have left by then.
+    fn settles(&mut self, query: &Query) -> bool {
+        let until = (self.hush.1 + SETTLE).min(query.came + self.latest_copy(query.class * 2).times(0.5));
+        let waits = self.hush.1 > Micros(0) && self.now < until.min(self.stop_at(query));
+        if waits {
+            self.actions.push(Action::Timer(until - self.now));
+        }
+        waits
+    }
+
     /// Takes a query as far as it goes now; false once it has its final answer.
     fn advance(&mut self, query: &mut Query) -> bool {
+        if !query.admitted && self.settles(query) {
+            return true;
+        }
         if !query.admitted && !self.admit(query) {
             return self.give_up(query);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,7 @@
     pub(crate) number: u64,
     pub(crate) class: usize,
     pub(crate) tenant: Option<usize>,
+    pub(crate) came: Micros,
     pub(crate) aim_at: Micros,
     pub(crate) end_at: Micros,
     pub(crate) repeat: bool, // marked by its client as asked before
