An alarm of the flight recorder is seen while records are followed often

Cause: the look for an alarm was a sleep begun anew in each round of the loop, so that writing what has come since every 100 ms or less put it off for ever: the line that an invariant is broken and the ring's writing never came.

Change: an interval of its own. A test with follow_ms 50 fails on the text before (nobody saw the alarm within half a second) and passes now.

--- a/crates/node/src/flight.rs
+++ b/crates/node/src/flight.rs
@@ -11,7 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::Notify;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{interval, sleep_until, timeout, Instant};
 
 /// Most records of a ring: 64 MiB of memory.
 const MOST_RECORDS: usize = 2 * 1024 * 1024;
@@ -71,6 +71,8 @@
     /// Writes the ring out at each ring of the bell and at each alarm, as long as the program runs.
     pub(crate) async fn run(self: Rc<Self>, bell: Rc<Notify>) {
         let mut alarms = 0;
+        // It keeps its own time: what else is written in between does not put it off.
+        let mut look = interval(LOOK);
         let (follows, every) = (self.flight.follow_ms > 0, Duration::from_millis(self.flight.follow_ms));
         let (mut followed, mut next) = (0, Instant::now() + every);
         if follows {
@@ -85,7 +87,7 @@
                     (followed, next) = (until, Instant::now() + every);
                 }
                 () = bell.notified() => self.write_out("signal", 0, !follows).await,
-                () = sleep(LOOK) => {
+                _ = look.tick() => {
                     if self.recorder.take_alarm() && alarms < MOST_ALARMS {
                         alarms += 1;
                         warn!(self.log, "an invariant is broken"; "alarm" => alarms);
@@ -164,7 +166,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use pinetrestle_recorder::{Record, Step};
     use std::path::Path;
+    use tokio::time::sleep;
 
     #[test]
     fn the_file_that_ships_is_good_and_takes_two_mebibytes() {
@@ -173,4 +177,22 @@
         assert_eq!(flight, Flight { records: 65_536, ..Flight::default() });
         assert_eq!(std::mem::size_of::<pinetrestle_recorder::Record>(), pinetrestle_recorder::BYTES);
     }
+
+    #[test]
+    fn an_alarm_is_seen_while_records_are_followed_more_often_than_it_is_looked_for() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let file = std::env::temp_dir().join(format!("flight-{}", std::process::id()));
+        let flight = Flight { records: 16, file: Some(file.clone()), at_exit: false, follow_ms: 50 };
+        let recorder = Rc::new(Recorder::new(flight.records));
+        let log = Logger::root(slog::Discard, slog::o!());
+        let writing = Rc::new(Writing { flight, recorder: recorder.clone(), log });
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let run = tokio::task::spawn_local(writing.run(Rc::default()));
+            recorder.alarm(1, Record::of(Step::Broken, 0));
+            sleep(5 * LOOK).await;
+            run.abort();
+        });
+        std::fs::remove_file(file).expect("it was written");
+        assert!(!recorder.take_alarm(), "nobody saw it");
+    }
 }
