--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -37,7 +37,8 @@
     table: Table,
     book: Book,
     roster: Roster,
-    /// Parts of queries that are over, with attempts out, and how many attempts they had: the module has to end those within a turn.
+    /// Parts of queries that are over, with attempts out, and how many attempts they had: the module has to
+    /// end those within a turn.
     orphans: Vec<(Id, u32)>,
     stop_at: Option<Micros>,
 }
@@ -87,7 +88,7 @@
         if let Some(stop) = self.stop_at {
             expires_in = expires_in.min(stop - now);
         }
-        let mut held = self.table.begin(&ask, now + expires_in);
+        let mut held = self.table.begin(ask.trace, ask.text, ask.class, now + expires_in);
         let id = self.fresh_id();
         let hints = ask.parts.iter().filter_map(|part| part.work);
         let hint = ask.parts.iter().any(|part| part.work.is_some()).then(|| Micros(hints.sum()));
@@ -350,18 +351,8 @@
     #[test]
     fn a_module_that_breaks_down_is_begun_anew_and_what_it_held_is_failed() {
         let mut host = host();
-        let held = Held {
-            trace: "q".into(),
-            text: "".into(),
-            class: 0,
-            number: 0,
-            end_at: Micros(1000),
-            timer: None,
-            step: 1,
-            first_whole: false,
-            list: String::new(),
-            parts: vec![8],
-        };
+        let mut held = host.table.begin("q".into(), "".into(), 0, Micros(1000));
+        held.parts.push(8);
         let part = PartHeld { query: 7, shard: 0, step: 1, attempts: 1, out: 1, value: None };
         host.table.parts.insert(8, part);
         host.table.hold(7, held);
@@ -378,16 +369,7 @@
     fn an_attempt_that_outlives_its_query_s_end_by_a_turn_is_told() {
         let mut host = host();
         let part = PartHeld { query: 7, shard: 0, step: 1, attempts: 1, out: 1, value: None };
-        let ask = Ask {
-            trace: "q".into(),
-            class: 0,
-            tenant: None,
-            expires_in: Micros(1000),
-            repeat: false,
-            parts: Vec::new(),
-            text: "".into(),
-        };
-        let mut held = host.table.begin(&ask, Micros(1000));
+        let mut held = host.table.begin("q".into(), "".into(), 0, Micros(1000));
         held.parts.push(8);
         host.table.parts.insert(8, part);
         host.table.hold(7, held);
--- a/crates/node/src/host/table.rs
+++ b/crates/node/src/host/table.rs
@@ -1,6 +1,5 @@
 //! The table of queries and parts that are open, and of the ids that were used of late.
 
-use super::data::Ask;
 use pinetrestle::interface::{Id, Micros};
 use pinetrestle_protocol::frames::Score;
 use pinetrestle_wheel::Key;
@@ -87,13 +86,13 @@
     }
 
     /// The next query as it stands at its begin, without parts.
-    pub(super) fn begin(&mut self, ask: &Ask, end_at: Micros) -> Held {
+    pub(super) fn begin(&mut self, trace: String, text: Rc<str>, class: usize, end_at: Micros) -> Held {
         let number = self.next_number;
         self.next_number += 1;
         Held {
-            trace: ask.trace.clone(),
-            text: ask.text.clone(),
-            class: ask.class,
+            trace,
+            text,
+            class,
             number,
             end_at,
             timer: None,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -3,7 +3,10 @@
 #![allow(dead_code)]
 
 use pinetrestle_node::Config;
+pub use pinetrestle_standins::entry;
+use pinetrestle_standins::Server;
 use serde_json::{json, Value};
+use std::net::SocketAddr;
 
 pub const ANY: usize = 0;
 pub const ALL: usize = 1;
@@ -30,10 +33,15 @@
     })
 }
 
-/// An entry of the list.
-pub fn entry(name: &str, address: &str, cell: u32) -> Value {
-    json!({"name": name, "address": address, "zone": "a", "type": "m", "group": cell, "status": "up",
-           "weight": 1.0, "since_ms": 0})
+/// Entries of index servers at these addresses, one cell after the other.
+pub fn entries_at(addresses: impl Iterator<Item = SocketAddr>) -> Vec<Value> {
+    let each = addresses.enumerate();
+    each.map(|(n, address)| entry(&format!("s{n}"), &address.to_string(), n as u32 % 3)).collect()
+}
+
+/// The entries of these index servers.
+pub fn entries(servers: &[Server]) -> Vec<Value> {
+    entries_at(servers.iter().map(|server| server.address))
 }
 
 pub fn list(index: u64, entries: &[Value]) -> Value {
--- a/crates/node/tests/flight.rs
+++ b/crates/node/tests/flight.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::{config_json, list};
+use common::{config_json, entries, entry, list};
 use pinetrestle_recorder::{key_of, life, text, Record, Step};
-use pinetrestle_standins::{entry, eventually, query, Client, Discovery, Doing, Program, Server};
+use pinetrestle_standins::{eventually, query, Client, Discovery, Doing, Program, Server};
 use std::io::Write;
 use std::process::Command;
 
@@ -26,10 +26,7 @@
 impl Stage {
     fn new(recorder: &str) -> Stage {
         let servers: Vec<Server> = (0..3).map(|_| Server::start(Doing::Serving)).collect();
-        let entries = servers.iter().enumerate();
-        let entries =
-            entries.map(|(n, server)| entry(&format!("s{n}"), &server.address.to_string(), n as u32));
-        let discovery = Discovery::start(entries.collect());
+        let discovery = Discovery::start(entries(&servers));
         let config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(0, &[]));
         let file = operator_file(recorder);
         let program = Program::started(&format!("{NODE} --recorder {}", file.display()), &config);
--- a/crates/node/tests/reload.rs
+++ b/crates/node/tests/reload.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{config_json, entry, list};
+use common::{config_json, entries, entry, list};
 use pinetrestle_standins::{eventually, query, Discovery, Doing, Program, Server};
 use serde_json::{json, Value};
 use std::net::TcpListener;
@@ -10,11 +10,6 @@
 
 const NODE: &str = env!("CARGO_BIN_EXE_pinetrestle-node");
 
-fn entries(servers: &[Server]) -> Vec<Value> {
-    let each = servers.iter().enumerate();
-    each.map(|(n, server)| entry(&format!("s{n}"), &server.address.to_string(), n as u32 % 3)).collect()
-}
-
 struct Stage {
     servers: Vec<Server>,
     discovery: Discovery,
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{config_json, entry, list};
+use common::{config_json, entries, list};
 use pinetrestle_standins::{eventually, query, Client, Discovery, Doing, Program, Server};
 use serde_json::{json, Value};
 use std::thread;
@@ -13,11 +13,6 @@
 /// What a client that misbehaves is owed an error or a close within, from its connecting.
 const OWED: Duration = Duration::from_secs(3);
 
-fn entries(servers: &[Server]) -> Vec<Value> {
-    let each = servers.iter().enumerate();
-    each.map(|(n, server)| entry(&format!("s{n}"), &server.address.to_string(), n as u32 % 3)).collect()
-}
-
 struct Stage {
     servers: Vec<Server>,
     discovery: Discovery,
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{config_json, entry, list};
+use common::{config_json, entries, list};
 use pinetrestle_standins::{
     eventually, query, start_badly, start_badly_with, Client, Discovery, Doing, Program, Server, Telling,
 };
@@ -19,11 +19,6 @@
     program: Program,
 }
 
-fn entries(servers: &[Server]) -> Vec<Value> {
-    let each = servers.iter().enumerate();
-    each.map(|(n, server)| entry(&format!("s{n}"), &server.address.to_string(), n as u32 % 3)).collect()
-}
-
 impl Stage {
     fn with(doing: &Doing, change: impl FnOnce(&mut Value)) -> Stage {
         let servers: Vec<Server> = (0..6).map(|_| Server::start(doing.clone())).collect();
--- a/crates/node/tests/stalls.rs
+++ b/crates/node/tests/stalls.rs
@@ -3,8 +3,8 @@
 
 mod common;
 
-use common::{config_json, list};
-use pinetrestle_standins::{entry, eventually, query, Client, Discovery, Program, Stamping, Work};
+use common::{config_json, entries_at, list};
+use pinetrestle_standins::{eventually, query, Client, Discovery, Program, Stamping, Work};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -26,11 +26,7 @@
 impl Stage {
     fn new(work: &Work) -> Stage {
         let servers: Vec<Stamping> = (0..6).map(|_| Stamping::start(work.clone())).collect();
-        let address = |server: &Stamping| server.address.to_string();
-        let places = servers.iter().enumerate();
-        let entries =
-            places.map(|(n, server)| entry(&format!("s{n}"), &address(server), n as u32 % 3)).collect();
-        let discovery = Discovery::start(entries);
+        let discovery = Discovery::start(entries_at(servers.iter().map(|server| server.address)));
         let mut config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(0, &[]));
         config["settings"]["permissions"]["most_held"] = 1000.into();
         config["settings"]["permissions"]["streams_per_conn"] = work.places.into();
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -23,18 +23,17 @@
 /// Reads and checks an operator file.
 pub fn read<T: Checked>(path: &Path) -> Result<T, Fault> {
     let whole = |wrong: String, mend: &str| Fault::of_file(path, wrong, mend);
-    let size = std::fs::metadata(path).map_err(|error| {
+    let unread = |error: std::io::Error| {
         whole(format!("can't be read: {error}"), "name a file that is there and may be read")
-    })?;
+    };
+    let size = std::fs::metadata(path).map_err(unread)?;
     if size.len() > MOST_BYTES {
         return Err(whole(
             format!("holds {} bytes", size.len()),
             &format!("keep it under {MOST_BYTES} bytes"),
         ));
     }
-    let bytes = std::fs::read(path).map_err(|error| {
-        whole(format!("can't be read: {error}"), "name a file that is there and may be read")
-    })?;
+    let bytes = std::fs::read(path).map_err(unread)?;
     let text =
         String::from_utf8(bytes).map_err(|_| whole("is not text in UTF-8".into(), "save it as UTF-8"))?;
     parse(path, &text)
--- a/crates/recorder/src/life.rs
+++ b/crates/recorder/src/life.rs
@@ -30,13 +30,11 @@
         Step::Decided
             | Step::InLine
             | Step::NoConnection
-            | Step::Refused
             | Step::FirstByte
             | Step::LastByte
             | Step::Cancelled
             | Step::CancelWritten
             | Step::Heard
-            | Step::Lost
     );
     // Writing to a string does not fail.
     if of_part {
@@ -48,8 +46,7 @@
     let told = match record.step {
         Step::Read => format!("aged {} us", record.number),
         Step::Taken => format!("{} parts", record.number),
-        Step::Decided => format!("replica {}, attempt {}", record.number, record.detail + 1),
-        Step::InLine | Step::NoConnection | Step::Refused | Step::Connecting => {
+        Step::Decided | Step::InLine | Step::NoConnection | Step::Connecting => {
             format!("replica {}", record.number)
         }
         Step::LastByte => format!("one of {} in its frame", record.number),
@@ -57,8 +54,6 @@
         Step::Heard => ["served", "error", "turned away", "too late"]
             .get(usize::from(record.detail))
             .map_or(String::new(), |word| (*word).to_owned()),
-        Step::Lost if record.detail == 1 => "after it was written whole".to_owned(),
-        Step::Lost => "before it was written whole".to_owned(),
         Step::Reply => ["served", "refused", "failed"]
             .get(usize::from(record.detail))
             .map_or(String::new(), |word| (*word).to_owned()),
--- a/crates/recorder/src/record.rs
+++ b/crates/recorder/src/record.rs
@@ -68,7 +68,7 @@
     Read 1 "request read" "A request was read whole; `number`: its age then, in microseconds.",
     Taken 2 "query taken" "The module was given the query; `number`: its parts.",
     NotTaken 3 "query not taken" "The query was not taken: its id is in use, or too much is held.",
-    Decided 4 "part decided" "The module wants an attempt; `number`: its replica, `detail`: the attempt.",
+    Decided 4 "part decided" "The module wants an attempt; `number`: its replica.",
     InLine 5 "part in line" "The part stands in line on a connection; `number`: its replica.",
     NoConnection 6 "no connection" "No connection could take the part; `number`: its replica.",
     FirstByte 7 "first byte written" "The first byte of the part's frame was written.",
@@ -76,8 +76,6 @@
     Cancelled 9 "given up" "The attempt is given up; `detail`: 1 if it was taken back unwritten.",
     CancelWritten 10 "cancel written" "The frame that gives the part up was written.",
     Heard 11 "answer read" "An answer was read; `detail`: 0 served, 1 error, 2 turned away, 3 too late.",
-    Lost 12 "lost" "The part's connection ended; `detail`: 1 if its frame had been written whole.",
-    Overdue 13 "query overdue" "The module had not ended the query when its time was over.",
     Reply 14 "answer decided" "The final answer is decided; `detail`: 0 served, 1 refused, 2 failed.",
     ReplyWritten 15 "answer written" "The last byte of the final answer was written; `number`: its status.",
     ReplyFailed 16 "answer not written" "The final answer could not be written; `number`: its status.",
@@ -89,7 +87,6 @@
     Ended 22 "connection ended" "The connection has ended; `number`: parts that were out.",
     Broken 23 "invariant broken" "An invariant was found broken; `detail`: which.",
     Paused 24 "pause seen" "The process had not run for a while; `number`: microseconds.",
-    Refused 25 "no place" "No connection had a place for the part; `number`: its replica.",
 }
 
 /// One step of one query, part or connection.
