Fleet members over Raft (raft library): durable log in our store, leases carried out, fleet command

Committed commands go to the LeaseTable; the leader runs Expiry; the member's Holders ask, renew and act; each start counts a boot on disk, and its request ids lie above all earlier starts' (boot << 32), so a restarted member is never answered as its earlier self. A stand-in task sink takes actions through the Fence and records each with its token and both clocks.

--- a/crates/fleet/src/expiry.rs
+++ b/crates/fleet/src/expiry.rs
@@ -94,6 +94,12 @@
         due
     }
 
+    /// Milliseconds of the leader's clock until it may propose the end of the lease on `task`, if it watches one.
+    pub fn left_ms(&self, task: &Task, now_ms: u64) -> Option<u64> {
+        let watch = self.watch.get(task)?;
+        Some((watch.since_ms + Self::wait_ms(watch.ttl_ms)).saturating_sub(now_ms))
+    }
+
     /// The leader's next moment at which [`Expiry::due`] may propose something, if any.
     pub fn next_due(&self) -> Option<u64> {
         self.watch.values().map(|w| w.proposed_ms.unwrap_or(w.since_ms) + Self::wait_ms(w.ttl_ms)).min()
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -57,6 +57,11 @@
         &self.task
     }
 
+    /// Whether it wants the task.
+    pub fn wants(&self) -> bool {
+        self.want
+    }
+
     /// Wants the task or no longer does; a holder that no longer wants it gives it back with its next command.
     pub fn want(&mut self, want: bool) {
         self.want = want;
--- /dev/null
+++ b/crates/member/src/cli.rs
@@ -0,0 +1,234 @@
+//! The `pinetrestle` program: `fleet` and its subcommands.
+//!
+//! Exit codes: 0 done; 1 a member could not be reached or answered nothing in time, or a file could not be written;
+//! 2 a bad command line or operator file (nothing was changed); 3 the member refused.
+
+use crate::config::FleetFile;
+use crate::member::Member;
+use crate::net;
+use crate::wire::{Ask, Reply};
+use clap::{Args, Parser, Subcommand};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// The front node's fleet: members, leases for fleet-wide tasks.
+#[derive(Debug, Parser)]
+#[command(name = "pinetrestle", version)]
+pub struct Cli {
+    #[command(subcommand)]
+    what: Top,
+}
+
+#[derive(Debug, Subcommand)]
+enum Top {
+    /// Members of the fleet and their leases.
+    #[command(subcommand)]
+    Fleet(Fleet),
+}
+
+#[derive(Debug, Subcommand)]
+enum Fleet {
+    /// Runs one member, in the foreground, until it is ended.
+    Up {
+        /// The fleet's JSON5 file for this member.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Checks a fleet file whole and says what is wrong, or nothing.
+    Check {
+        /// The file.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Shows a member's view: role, leader, term, leases with holder, token and time left.
+    Status(Target),
+    /// Says why each task is held where it is, or why it waits.
+    Explain(Target),
+    /// Lets a member ask for a task, or give it back.
+    #[command(subcommand)]
+    Lease(Lease),
+    /// Runs a stand-in task sink that takes actions only through the fence and records each.
+    Sink {
+        /// Address to listen on.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// File of the record, one JSON line per action; standard output if none.
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+enum Lease {
+    /// The member asks for TASK and holds it, renewing, until released.
+    Acquire {
+        /// The task.
+        task: String,
+        #[command(flatten)]
+        target: Target,
+    },
+    /// The member gives TASK back.
+    Release {
+        /// The task.
+        task: String,
+        #[command(flatten)]
+        target: Target,
+    },
+}
+
+/// Which member a command goes to.
+#[derive(Debug, Args)]
+struct Target {
+    /// The member's fleet file; the command goes to the address it gives this member.
+    #[arg(long)]
+    config: Option<PathBuf>,
+    /// The member's address, instead of a file.
+    #[arg(long)]
+    at: Option<SocketAddr>,
+    /// Writes JSON instead of a table.
+    #[arg(long)]
+    json: bool,
+    /// Seconds to wait for an answer.
+    #[arg(long, default_value_t = 3)]
+    wait: u64,
+}
+
+/// Runs the command line.
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("pinetrestle: no runtime: {error}");
+            return ExitCode::from(1);
+        }
+    };
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, run(cli))
+}
+
+fn read(path: &std::path::Path) -> Result<FleetFile, ExitCode> {
+    pinetrestle_operator::read::<FleetFile>(path).map_err(|fault| {
+        eprintln!("pinetrestle: {fault}");
+        ExitCode::from(2)
+    })
+}
+
+async fn run(cli: Cli) -> ExitCode {
+    let Top::Fleet(fleet) = cli.what;
+    match fleet {
+        Fleet::Up { config } => {
+            let file = match read(&config) {
+                Ok(file) => file,
+                Err(code) => return code,
+            };
+            up(file).await
+        }
+        Fleet::Check { config } => match read(&config) {
+            Ok(_) => ExitCode::SUCCESS,
+            Err(code) => code,
+        },
+        Fleet::Status(target) => command(&target, Ask::Status, None).await,
+        Fleet::Explain(target) => command(&target, Ask::Status, Some(())).await,
+        Fleet::Lease(Lease::Acquire { task, target }) => {
+            command(&target, Ask::Want { task, want: true }, None).await
+        }
+        Fleet::Lease(Lease::Release { task, target }) => {
+            command(&target, Ask::Want { task, want: false }, None).await
+        }
+        Fleet::Sink { listen, record } => {
+            let out: Box<dyn std::io::Write> = match record {
+                Some(path) => match std::fs::File::create(&path) {
+                    Ok(file) => Box::new(file),
+                    Err(error) => {
+                        eprintln!("pinetrestle: {}: {error}", path.display());
+                        return ExitCode::from(1);
+                    }
+                },
+                None => Box::new(std::io::stdout()),
+            };
+            match crate::sink::run(listen, out).await {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => {
+                    eprintln!("pinetrestle: sink: {error}");
+                    ExitCode::from(1)
+                }
+            }
+        }
+    }
+}
+
+async fn up(file: FleetFile) -> ExitCode {
+    let log = crate::logging::logger(file.id);
+    let listen = file.addr_of(file.id).unwrap_or_else(|| unreachable!("checked"));
+    let peers = file
+        .peers
+        .iter()
+        .filter(|p| p.id != file.id)
+        .filter_map(|p| Some((p.id, file.dial_of(p.id)?)))
+        .collect();
+    let (sink, tick) = (file.sink, Duration::from_millis(file.tick_ms));
+    let member = match Member::open(file, log.clone()) {
+        Ok(member) => member,
+        Err(error) => {
+            slog::error!(log, "member could not start"; "error" => %error);
+            return ExitCode::from(1);
+        }
+    };
+    match net::run(member, listen, peers, sink, tick, log.clone()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            slog::error!(log, "member stopped"; "error" => %error);
+            ExitCode::from(1)
+        }
+    }
+}
+
+async fn command(target: &Target, ask: Ask, explain: Option<()>) -> ExitCode {
+    let addr = match (target.at, &target.config) {
+        (Some(addr), _) => addr,
+        (None, Some(path)) => match read(path) {
+            Ok(file) => file.addr_of(file.id).unwrap_or_else(|| unreachable!("checked")),
+            Err(code) => return code,
+        },
+        (None, None) => {
+            eprintln!("pinetrestle: name the member by --config FILE or --at ADDR");
+            return ExitCode::from(2);
+        }
+    };
+    let reply = match net::ask(addr, ask, Duration::from_secs(target.wait)).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            eprintln!("pinetrestle: {error}");
+            return ExitCode::from(1);
+        }
+    };
+    match reply {
+        Reply::Status(status) if target.json => {
+            println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default());
+            ExitCode::SUCCESS
+        }
+        Reply::Status(status) if explain.is_some() => {
+            print!("{}", crate::show::explain(&status));
+            ExitCode::SUCCESS
+        }
+        Reply::Status(status) => {
+            print!("{}", crate::show::table(&status));
+            ExitCode::SUCCESS
+        }
+        Reply::Wanted => {
+            if target.json {
+                println!("{{\"taken\":true}}");
+            } else {
+                println!("taken");
+            }
+            ExitCode::SUCCESS
+        }
+        Reply::Refused(why) => {
+            eprintln!("pinetrestle: refused: {why}");
+            ExitCode::from(3)
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/member.rs
@@ -0,0 +1,388 @@
+//! One member running: Raft stepped by ticks and messages, committed commands applied to the lease table, the
+//! leader's expiry, this member's holders, and actions under the leases it holds. Nothing here blocks; the
+//! sockets are in [`crate::net`].
+
+use crate::config::FleetFile;
+use crate::raftstore::Durable;
+use crate::wire::{self, Action, LeaseView, MineView, Status};
+use pinetrestle_fleet::{
+    Command, Expiry, Holder, HolderState, LeaseTable, MemberId, Outcome, RequestId, Task, Token,
+};
+use protobuf::Message as _;
+use raft::eraftpb::{Entry, EntryType, Message};
+use raft::{Config, RawNode, StateRole};
+use slog::{info, warn, Logger};
+use std::collections::BTreeMap;
+use std::io;
+use std::time::Instant;
+
+/// What the member asks its drivers to carry out after a step.
+#[derive(Debug, Default)]
+pub struct Out {
+    /// Raft messages, by peer.
+    pub messages: Vec<(u64, Vec<u8>)>,
+    /// Actions under a lease, for the task sink.
+    pub actions: Vec<Action>,
+}
+
+/// One member of the fleet.
+pub struct Member {
+    id: u64,
+    config: FleetFile,
+    log: Logger,
+    raw: RawNode<Durable>,
+    table: LeaseTable,
+    expiry: Expiry,
+    holders: BTreeMap<Task, Holder>,
+    /// The token under which this member last acted on each task, to log when that starts and ends.
+    acting: BTreeMap<Task, Token>,
+    start: Instant,
+    last_act_ms: u64,
+    act_seq: u64,
+    boot: u64,
+}
+
+fn failed(error: impl std::fmt::Display) -> io::Error {
+    io::Error::other(error.to_string())
+}
+
+impl Member {
+    /// Opens the store and starts Raft. The lease table is taken from the snapshot; Raft hands the committed entries
+    /// after it again, and they are applied again, in order.
+    ///
+    /// # Errors
+    /// From the store, or Raft's refusal of the configuration.
+    pub fn open(config: FleetFile, log: Logger) -> io::Result<Member> {
+        let voters: Vec<u64> = config.peers.iter().map(|p| p.id).collect();
+        let store = Durable::open(&config.data_dir, &voters)?;
+        let boot = store.boot();
+        let (applied, data) = store.snapshot_data();
+        let table = if data.is_empty() {
+            LeaseTable::new()
+        } else {
+            wire::decode(data).ok_or_else(|| failed("the snapshot's lease table does not decode"))?
+        };
+        let raft_config = Config {
+            id: config.id,
+            election_tick: config.election_ticks,
+            heartbeat_tick: config.heartbeat_ticks,
+            applied,
+            check_quorum: true,
+            pre_vote: true,
+            max_size_per_msg: 1 << 20,
+            max_inflight_msgs: 256,
+            ..Default::default()
+        };
+        raft_config.validate().map_err(failed)?;
+        let raw = RawNode::new(&raft_config, store, &log).map_err(failed)?;
+        // Request ids of this start lie above every id of the starts before it.
+        let base = Some(RequestId(boot << 32));
+        let holders = config
+            .tasks
+            .iter()
+            .map(|t| {
+                let mut holder = Holder::new(Task(t.clone()), MemberId(config.id), config.lease_ms, base);
+                holder.want(true);
+                (Task(t.clone()), holder)
+            })
+            .collect();
+        info!(log, "member started"; "boot" => boot, "applied" => applied, "tasks" => config.tasks.len());
+        Ok(Member {
+            id: config.id,
+            config,
+            log,
+            raw,
+            table,
+            expiry: Expiry::new(),
+            holders,
+            acting: BTreeMap::new(),
+            start: Instant::now(),
+            last_act_ms: 0,
+            act_seq: 0,
+            boot,
+        })
+    }
+
+    /// This member's id.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// Milliseconds of this process's monotonic clock.
+    pub fn now_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    /// A Raft message from a peer.
+    pub fn receive(&mut self, bytes: &[u8]) {
+        match Message::parse_from_bytes(bytes) {
+            Ok(message) => {
+                if let Err(error) = self.raw.step(message) {
+                    warn!(self.log, "message not taken"; "error" => %error);
+                }
+            }
+            Err(_) => warn!(self.log, "message does not decode"; "bytes" => bytes.len()),
+        }
+    }
+
+    /// One tick: Raft's clock, the leader's expiry, the holders' requests, actions under leases held.
+    pub fn tick(&mut self, out: &mut Out) -> io::Result<()> {
+        let now = self.now_ms();
+        self.raw.tick();
+        self.leadership(now);
+        for command in self.expiry.due(now) {
+            if let Command::Expire { task, token, .. } = &command {
+                info!(self.log, "lease unrenewed, end proposed"; "task" => &task.0, "token" => token.0);
+            }
+            self.propose(&command);
+        }
+        let commands: Vec<Command> = self.holders.values_mut().filter_map(|h| h.poll(now)).collect();
+        for command in &commands {
+            self.propose(command);
+        }
+        self.act(now, out);
+        self.ready(out)
+    }
+
+    /// Takes a wish from the `fleet` command.
+    pub fn want(&mut self, task: &str, want: bool) -> Result<(), String> {
+        let task = Task(task.to_owned());
+        if task.0.is_empty() || task.0.len() > pinetrestle_fleet::MAX_TASK_NAME {
+            return Err("a task's name has 1 to 64 bytes".into());
+        }
+        if !self.holders.contains_key(&task) && self.holders.len() >= pinetrestle_fleet::MAX_TASKS {
+            return Err("this member wants 64 tasks already".into());
+        }
+        let base = Some(RequestId((self.boot << 32) + (1 << 31)));
+        let (id, lease_ms) = (self.id, self.config.lease_ms);
+        let holder = self
+            .holders
+            .entry(task.clone())
+            .or_insert_with(|| Holder::new(task.clone(), MemberId(id), lease_ms, base));
+        holder.want(want);
+        info!(self.log, "wish taken"; "task" => &task.0, "want" => want);
+        Ok(())
+    }
+
+    /// Where this member stands.
+    pub fn status(&mut self) -> Status {
+        let now = self.now_ms();
+        let raft = &self.raw.raft;
+        let role = match raft.state {
+            StateRole::Leader => "leader",
+            StateRole::Follower => "follower",
+            StateRole::Candidate | StateRole::PreCandidate => "candidate",
+        };
+        let leases = self
+            .table
+            .leases()
+            .map(|(task, lease)| LeaseView {
+                task: task.0.clone(),
+                holder: lease.holder.0,
+                token: lease.token.0,
+                renewal: lease.renewal,
+                left_ms: self.expiry.left_ms(task, now),
+            })
+            .collect();
+        let mine = self
+            .holders
+            .iter_mut()
+            .map(|(task, holder)| {
+                let acting = holder.may_act(now);
+                let state = match holder.state() {
+                    HolderState::Idle { .. } => "idle".to_owned(),
+                    HolderState::Asking { .. } => "asking".to_owned(),
+                    HolderState::Holding { token, .. } => format!("holding under token {}", token.0),
+                };
+                let acting_ms = match holder.state() {
+                    HolderState::Holding { until_ms, .. } if acting.is_some() => Some(until_ms - now),
+                    _ => None,
+                };
+                MineView { task: task.0.clone(), want: holder.wants(), state, acting_ms }
+            })
+            .collect();
+        Status {
+            id: self.id,
+            role: role.to_owned(),
+            leader: raft.leader_id,
+            term: raft.term,
+            commit: raft.raft_log.committed,
+            applied: self.table.applied(),
+            boot: self.boot,
+            members: self.config.peers.iter().map(|p| p.id).collect(),
+            leases,
+            mine,
+        }
+    }
+
+    fn leadership(&mut self, now: u64) {
+        let leads = self.raw.raft.state == StateRole::Leader;
+        if leads && !self.expiry.leading() {
+            info!(self.log, "became leader"; "term" => self.raw.raft.term);
+            self.expiry.elected(now, &self.table);
+        } else if !leads && self.expiry.leading() {
+            info!(self.log, "no longer leader"; "term" => self.raw.raft.term);
+            self.expiry.step_down();
+        }
+    }
+
+    fn propose(&mut self, command: &Command) {
+        if self.raw.raft.leader_id == raft::INVALID_ID {
+            return;
+        }
+        if let Err(error) = self.raw.propose(Vec::new(), wire::encode(command)) {
+            warn!(self.log, "proposal dropped"; "error" => %error);
+        }
+    }
+
+    fn act(&mut self, now: u64, out: &mut Out) {
+        let due = now.saturating_sub(self.last_act_ms) >= self.config.act_ms;
+        for (task, holder) in &mut self.holders {
+            match (holder.may_act(now), self.acting.get(task).copied()) {
+                (Some(token), last) => {
+                    if last != Some(token) {
+                        info!(self.log, "acting"; "task" => &task.0, "token" => token.0);
+                        self.acting.insert(task.clone(), token);
+                    }
+                    if due {
+                        self.act_seq += 1;
+                        let sent_us = wall_us();
+                        out.actions.push(Action {
+                            task: task.0.clone(),
+                            token: token.0,
+                            seq: self.act_seq,
+                            sent_us,
+                        });
+                    }
+                }
+                (None, Some(token)) => {
+                    let reason = if holder.wants() { "lease_ran_out" } else { "released" };
+                    info!(self.log, "acting stopped"; "task" => &task.0, "token" => token.0, "reason" => reason);
+                    self.acting.remove(task);
+                }
+                (None, None) => {}
+            }
+        }
+        if due {
+            self.last_act_ms = now;
+        }
+    }
+
+    /// Carries out what Raft has ready: the snapshot, entries and hard state made durable before the messages that
+    /// rest on them leave, committed entries applied.
+    fn ready(&mut self, out: &mut Out) -> io::Result<()> {
+        if !self.raw.has_ready() {
+            return Ok(());
+        }
+        let mut ready = self.raw.ready();
+        push(&mut out.messages, ready.take_messages());
+        if !ready.snapshot().is_empty() {
+            let snapshot = ready.snapshot().clone();
+            self.raw.mut_store().apply_snapshot(&snapshot)?;
+            self.table = wire::decode(&snapshot.data).unwrap_or_default();
+            info!(self.log, "snapshot taken from the leader"; "index" => snapshot.get_metadata().index);
+        }
+        let committed = ready.take_committed_entries();
+        self.apply(committed);
+        self.raw.mut_store().append(ready.entries())?;
+        if let Some(hard) = ready.hs() {
+            self.raw.mut_store().set_hard(hard)?;
+        }
+        self.raw.mut_store().sync()?;
+        push(&mut out.messages, ready.take_persisted_messages());
+        let mut light = self.raw.advance(ready);
+        if let Some(commit) = light.commit_index() {
+            self.raw.mut_store().set_commit(commit)?;
+            self.raw.mut_store().sync()?;
+        }
+        push(&mut out.messages, light.take_messages());
+        let committed = light.take_committed_entries();
+        self.apply(committed);
+        self.raw.advance_apply();
+        self.compact()
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>) {
+        let now = self.now_ms();
+        for entry in entries {
+            if entry.index <= self.table.applied() {
+                continue;
+            }
+            if entry.get_entry_type() != EntryType::EntryNormal || entry.data.is_empty() {
+                continue;
+            }
+            let Some(command) = wire::decode::<Command>(&entry.data) else {
+                warn!(self.log, "entry does not decode"; "index" => entry.index);
+                continue;
+            };
+            let before = match &command {
+                Command::Acquire { task, .. }
+                | Command::Release { task, .. }
+                | Command::Expire { task, .. } => self.table.lease(task).cloned(),
+            };
+            let outcome = self.table.apply(entry.index, &command);
+            self.note(&command, &outcome, before.as_ref());
+            if let Command::Acquire { task, member, request, .. }
+            | Command::Release { task, member, request, .. } = &command
+            {
+                if member.0 == self.id {
+                    if let Some(holder) = self.holders.get_mut(task) {
+                        holder.answer(now, *request, &outcome);
+                    }
+                }
+            }
+        }
+        self.expiry.observe(now, &self.table);
+    }
+
+    /// One log line for each lease that begins or ends, with its reason.
+    fn note(&self, command: &Command, outcome: &Outcome, before: Option<&pinetrestle_fleet::Lease>) {
+        let task = match command {
+            Command::Acquire { task, .. } | Command::Release { task, .. } | Command::Expire { task, .. } => {
+                &task.0
+            }
+        };
+        let ended = |reason: &str| {
+            if let Some(lease) = before {
+                info!(self.log, "lease ended"; "task" => task, "holder" => lease.holder.0, "token" => lease.token.0,
+                    "reason" => reason);
+            }
+        };
+        match outcome {
+            Outcome::Granted(token) if before.map(|l| l.token) != Some(*token) => {
+                if before.is_some() {
+                    ended("replaced_after_restart");
+                }
+                let holder = match command {
+                    Command::Acquire { member, .. } => member.0,
+                    _ => 0,
+                };
+                info!(self.log, "lease granted"; "task" => task, "holder" => holder, "token" => token.0);
+            }
+            Outcome::Released if before.is_some() => ended("released"),
+            Outcome::Expired => ended("expired"),
+            _ => {}
+        }
+    }
+
+    fn compact(&mut self) -> io::Result<()> {
+        let (index, _) = self.raw.store().snapshot_data();
+        let applied = self.table.applied();
+        if applied >= index + self.config.snapshot_every && applied <= self.raw.raft.raft_log.committed {
+            let data = wire::encode(&self.table);
+            self.raw.mut_store().compact(applied, data)?;
+            info!(self.log, "snapshot written"; "index" => applied, "log_bytes" => self.raw.store().log_bytes());
+        }
+        Ok(())
+    }
+}
+
+fn wall_us() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+}
+
+fn push(out: &mut Vec<(u64, Vec<u8>)>, messages: Vec<Message>) {
+    for message in messages {
+        out.push((message.to, message.write_to_bytes().unwrap_or_default()));
+    }
+}
--- /dev/null
+++ b/crates/member/src/net.rs
@@ -0,0 +1,219 @@
+//! The sockets of a member: one listener for peers and commands, one connection out to each peer and to the task
+//! sink, each with a bounded queue. A queue that is full drops what comes: Raft sends again what matters.
+
+use crate::member::{Member, Out};
+use crate::wire::{self, Action, Ask, Hello, Reply};
+use futures_util::{SinkExt, StreamExt};
+use slog::{info, warn, Logger};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::bytes::Bytes;
+
+/// Frames waiting for one peer, at most.
+pub const PEER_QUEUE: usize = 512;
+/// Frames waiting from all peers to the member, at most.
+pub const INBOX: usize = 4_096;
+/// Commands of the `fleet` program waiting, at most.
+pub const COMMANDS: usize = 64;
+
+/// What reaches the member's loop from the sockets.
+enum Inbound {
+    Raft(Vec<u8>),
+    Ask(Ask, oneshot::Sender<Reply>),
+}
+
+/// Runs `member` until the process ends: listens on its address, ticks, and carries out what it decides.
+///
+/// # Errors
+/// When the address can't be bound, or the store fails (the member stops then rather than go on unsure of what it
+/// wrote).
+pub async fn run(
+    mut member: Member,
+    listen: SocketAddr,
+    peers: Vec<(u64, SocketAddr)>,
+    sink: Option<SocketAddr>,
+    tick: Duration,
+    log: Logger,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(listen).await?;
+    info!(log, "listening"; "addr" => %listen);
+    let (inbox, mut inbound) = mpsc::channel(INBOX);
+    let (commands_tx, mut commands) = mpsc::channel(COMMANDS);
+    tokio::task::spawn_local(accept(listener, inbox, commands_tx, log.clone()));
+    let mut outs: BTreeMap<u64, mpsc::Sender<Vec<u8>>> = BTreeMap::new();
+    for (id, addr) in peers {
+        let (tx, rx) = mpsc::channel(PEER_QUEUE);
+        tokio::task::spawn_local(send_to(
+            addr,
+            wire::encode(&Hello::Peer(member_id(&member))),
+            rx,
+            log.clone(),
+        ));
+        outs.insert(id, tx);
+    }
+    let actions = sink.map(|addr| {
+        let (tx, rx) = mpsc::channel(PEER_QUEUE);
+        tokio::task::spawn_local(send_to(
+            addr,
+            wire::encode(&Hello::Actions(member_id(&member))),
+            rx,
+            log.clone(),
+        ));
+        tx
+    });
+    let mut ticks = tokio::time::interval(tick);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let mut out = Out::default();
+        tokio::select! {
+            _ = ticks.tick() => member.tick(&mut out)?,
+            Some(inbound) = inbound.recv() => {
+                if let Inbound::Raft(bytes) = inbound {
+                    member.receive(&bytes);
+                }
+            }
+            Some(Inbound::Ask(ask, reply)) = commands.recv() => {
+                let answer = match ask {
+                    Ask::Status => Reply::Status(member.status()),
+                    Ask::Want { task, want } => match member.want(&task, want) {
+                        Ok(()) => Reply::Wanted,
+                        Err(why) => Reply::Refused(why),
+                    },
+                };
+                let _ = reply.send(answer);
+            }
+        }
+        carry(&mut out, &outs, actions.as_ref());
+    }
+}
+
+fn member_id(member: &Member) -> u64 {
+    member.id()
+}
+
+fn carry(
+    out: &mut Out,
+    outs: &BTreeMap<u64, mpsc::Sender<Vec<u8>>>,
+    actions: Option<&mpsc::Sender<Vec<u8>>>,
+) {
+    for (to, bytes) in out.messages.drain(..) {
+        if let Some(tx) = outs.get(&to) {
+            let _ = tx.try_send(bytes);
+        }
+    }
+    for action in out.actions.drain(..) {
+        if let Some(tx) = actions {
+            let _ = tx.try_send(wire::encode::<Action>(&action));
+        }
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    inbox: mpsc::Sender<Inbound>,
+    commands: mpsc::Sender<Inbound>,
+    log: Logger,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(stream, inbox.clone(), commands.clone(), log.clone()));
+            }
+            Err(error) => {
+                warn!(log, "accept failed"; "error" => %error);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// One connection in: a peer's messages until it ends, or one command and its answer.
+async fn serve(
+    stream: TcpStream,
+    inbox: mpsc::Sender<Inbound>,
+    commands: mpsc::Sender<Inbound>,
+    log: Logger,
+) {
+    let mut link = wire::framed(stream);
+    let hello = match tokio::time::timeout(Duration::from_secs(2), link.next()).await {
+        Ok(Some(Ok(frame))) => wire::decode::<Hello>(&frame),
+        _ => None,
+    };
+    match hello {
+        Some(Hello::Peer(from)) => {
+            let mut frames = 0u64;
+            let reason = loop {
+                match link.next().await {
+                    Some(Ok(frame)) => {
+                        frames += 1;
+                        let _ = inbox.try_send(Inbound::Raft(frame.to_vec()));
+                    }
+                    Some(Err(_)) => break "bad_frame",
+                    None => break "peer_closed",
+                }
+            };
+            info!(log, "peer connection ended"; "peer" => from, "frames" => frames, "reason" => reason);
+        }
+        Some(Hello::Command(ask)) => {
+            let (tx, rx) = oneshot::channel();
+            let reply = if commands.try_send(Inbound::Ask(ask, tx)).is_err() {
+                Reply::Refused("the member is busy; ask again".into())
+            } else {
+                rx.await.unwrap_or(Reply::Refused("the member stopped".into()))
+            };
+            let _ = link.send(Bytes::from(wire::encode(&reply))).await;
+        }
+        Some(Hello::Actions(_)) | None => info!(log, "connection ended"; "reason" => "no_hello"),
+    }
+}
+
+/// One connection out, made again after each failure, 100 ms to 1 s apart; frames that wait while it is down are
+/// kept up to the queue's bound.
+async fn send_to(addr: SocketAddr, hello: Vec<u8>, mut queue: mpsc::Receiver<Vec<u8>>, log: Logger) {
+    let mut backoff = Duration::from_millis(100);
+    loop {
+        let stream = match tokio::time::timeout(Duration::from_secs(1), TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => stream,
+            _ => {
+                tokio::time::sleep(backoff).await;
+                backoff = (backoff * 2).min(Duration::from_secs(1));
+                continue;
+            }
+        };
+        backoff = Duration::from_millis(100);
+        let mut link = wire::framed(stream);
+        if link.send(Bytes::from(hello.clone())).await.is_err() {
+            continue;
+        }
+        let mut frames = 0u64;
+        let reason = loop {
+            let Some(frame) = queue.recv().await else { return };
+            match tokio::time::timeout(Duration::from_secs(2), link.send(Bytes::from(frame))).await {
+                Ok(Ok(())) => frames += 1,
+                Ok(Err(_)) => break "write_failed",
+                Err(_) => break "write_stalled",
+            }
+        };
+        info!(log, "connection out ended"; "to" => %addr, "frames" => frames, "reason" => reason);
+    }
+}
+
+/// Sends one command to the member at `addr` and waits up to `wait` for its answer.
+///
+/// # Errors
+/// When the member can't be reached or says nothing in time.
+pub async fn ask(addr: SocketAddr, ask: Ask, wait: Duration) -> std::io::Result<Reply> {
+    let timed = |what: &str| std::io::Error::new(std::io::ErrorKind::TimedOut, format!("{addr}: {what}"));
+    let stream =
+        tokio::time::timeout(wait, TcpStream::connect(addr)).await.map_err(|_| timed("no connection"))??;
+    let mut link = wire::framed(stream);
+    link.send(Bytes::from(wire::encode(&Hello::Command(ask)))).await?;
+    match tokio::time::timeout(wait, link.next()).await {
+        Ok(Some(Ok(frame))) => wire::decode(&frame).ok_or_else(|| timed("an answer that does not decode")),
+        Ok(_) => Err(timed("closed without an answer")),
+        Err(_) => Err(timed("no answer in time")),
+    }
+}
--- /dev/null
+++ b/crates/member/tests/config.rs
@@ -0,0 +1,37 @@
+//! The fleet's operator file: the example is taken whole; a bad one is refused with file, line, key and mend.
+
+use pinetrestle_member::config::FleetFile;
+use std::path::Path;
+
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/fleet.example.json5");
+
+#[test]
+fn the_example_is_taken() {
+    let file: FleetFile = pinetrestle_operator::read(Path::new(EXAMPLE)).unwrap();
+    assert_eq!((file.id, file.peers.len(), file.lease_ms, file.election_ms()), (1, 3, 2_000, 500));
+}
+
+fn fault(from: &str, to: &str) -> String {
+    let text = std::fs::read_to_string(EXAMPLE).unwrap();
+    assert!(text.contains(from), "the example has no {from:?}");
+    let text = text.replace(from, to);
+    pinetrestle_operator::parse::<FleetFile>(Path::new("fleet.json5"), &text).unwrap_err().to_string()
+}
+
+#[test]
+fn a_bad_file_names_line_key_and_mend() {
+    assert_eq!(
+        fault("lease_ms: 2000", "lease_ms: 600"),
+        "fleet.json5:28: lease_ms is outside 200..=60000 ms or under two election times; write at least 1000"
+    );
+    assert_eq!(
+        fault("  id: 1,", "  id: 9,"),
+        "fleet.json5:7: id 9 is not among the peers; name one of peers[].id"
+    );
+    let twice = fault(r#"{ id: 3, addr: "127.0.0.1:7103" }"#, r#"{ id: 2, addr: "127.0.0.1:7109" }"#);
+    assert!(twice.starts_with("fleet.json5:13: peers[2] has the id or address of peers[1]"), "{twice}");
+    let unknown = fault("act_ms: 50", "act_every: 50");
+    assert!(unknown.starts_with("fleet.json5:37: act_every"), "{unknown}");
+    let dial = fault("// dial: [ { id: 2,", "dial: [ { id: 7,");
+    assert!(dial.contains("dial[0].id names no other peer"), "{dial}");
+}
