Model check of leases and fencing with stateright: every interleaving, fence broken once

States grew without bound until each member polls, acts and the leader expires at most once a step of time, as on a tick.

--- a/crates/fleet/src/expiry.rs
+++ b/crates/fleet/src/expiry.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// What the leader counts for one lease.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Watch {
     token: Token,
     renewal: u64,
@@ -17,7 +17,7 @@
 }
 
 /// The leader's part in ending leases. Only a leader feeds it; one that steps down calls [`Expiry::step_down`].
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone, PartialEq, Eq, Hash)]
 pub struct Expiry {
     leading: bool,
     watch: BTreeMap<Task, Watch>,
--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -11,7 +11,7 @@
 }
 
 /// The highest token seen for each task, at most [`MAX_TASKS`] tasks.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Default, Clone, PartialEq, Eq, Hash)]
 pub struct Fence {
     seen: BTreeMap<Task, Token>,
 }
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -3,7 +3,7 @@
 use crate::types::{Command, MemberId, Outcome, Refusal, RequestId, Task, Token};
 
 /// Where the holder stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum HolderState {
     /// Holds nothing; asks again from `next_ms` if it wants the task.
     Idle {
@@ -29,7 +29,7 @@
 }
 
 /// One member's lease of one task. Time is the member's own monotonic milliseconds.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Holder {
     task: Task,
     member: MemberId,
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 /// Who holds which task, and each member's last answer. Serializable whole, as a snapshot.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LeaseTable {
     /// Every task ever asked for (at most [`MAX_TASKS`]), with its lease if one stands.
     tasks: BTreeMap<Task, Option<Lease>>,
--- a/crates/fleet/src/types.rs
+++ b/crates/fleet/src/types.rs
@@ -33,7 +33,7 @@
 pub const MARGIN_MS: u64 = 100;
 
 /// One command of the replicated log that the table applies.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Command {
     /// Take `task` for `ttl_ms`, or renew it when `holding` is the token of the lease this member holds.
     Acquire {
@@ -71,7 +71,7 @@
 }
 
 /// A lease as the table holds it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Lease {
     /// Who holds it.
     pub holder: MemberId,
@@ -84,7 +84,7 @@
 }
 
 /// What applying a command decided.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Outcome {
     /// The lease is the asker's, new, with this token.
     Granted(Token),
@@ -106,7 +106,7 @@
 }
 
 /// Why a command changed nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Refusal {
     /// A lease time outside [`TTL_MS`].
     BadTtl,
--- /dev/null
+++ b/crates/fleet/tests/model.rs
@@ -0,0 +1,240 @@
+//! A model check of the lease and fencing rules with stateright: every interleaving of two members that want one
+//! task, the replicated table (Raft's order taken as given), a leader's expiry, a task sink, messages lost and
+//! delivered in any order, a member that crashes and starts anew, a change of leader, and members that stall
+//! (take no step while time goes on). Time moves in steps of 100 ms; leases are 200 ms.
+//!
+//! Invariants: never two members that may act at the same moment; the sink never takes a token lower than one it
+//! took. The second is shown to fail when the sink takes actions without the fence.
+
+use pinetrestle_fleet::{
+    Command, Expiry, Fence, Holder, LeaseTable, MemberId, Outcome, RequestId, Task, Token,
+};
+use stateright::{Checker, Model, Property};
+
+const STEP_MS: u64 = 100;
+const END_MS: u64 = 400;
+const TTL_MS: u64 = 200;
+const MAX_IN_FLIGHT: usize = 2;
+const MAX_LOST: u8 = 1;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, PartialOrd, Ord)]
+enum Message {
+    ToLog(Command),
+    ToMember(usize, RequestId, Outcome),
+    ToSink(Token),
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq)]
+struct State {
+    now: u64,
+    table: LeaseTable,
+    index: u64,
+    expiry: Expiry,
+    members: [Holder; 2],
+    boots: [u64; 2],
+    in_flight: Vec<Message>,
+    lost: u8,
+    crashed: bool,
+    elections: u8,
+    fence: Fence,
+    /// What each member and the leader did in this step of time already: poll, act, expire. Once each a step
+    /// bounds the states; it is what a process does on a tick.
+    done: [bool; 5],
+    highest_taken: Token,
+    stale_taken: bool,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq)]
+enum Action {
+    Tick,
+    Poll(usize),
+    Act(usize),
+    Due,
+    Deliver(usize),
+    Lose(usize),
+    Crash(usize),
+    Elect,
+}
+
+struct Leases {
+    fenced: bool,
+}
+
+fn task() -> Task {
+    Task("t".into())
+}
+
+fn holder(member: usize, boot: u64) -> Holder {
+    let mut holder = Holder::new(task(), MemberId(member as u64), TTL_MS, Some(RequestId(boot << 32)));
+    holder.want(true);
+    holder
+}
+
+fn send(state: &mut State, message: Message) {
+    state.in_flight.push(message);
+    state.in_flight.sort();
+}
+
+impl Model for Leases {
+    type State = State;
+    type Action = Action;
+
+    /// Member 0 holds the lease from moment 0 (asked, granted and answered at once), so that the few steps of time
+    /// the checker can cover reach its end and a handover.
+    fn init_states(&self) -> Vec<State> {
+        let mut table = LeaseTable::new();
+        let mut members = [holder(0, 1), holder(1, 1)];
+        let ask = members[0].poll(0).unwrap();
+        let Command::Acquire { request, .. } = ask else { unreachable!() };
+        let outcome = table.apply(1, &ask);
+        members[0].answer(0, request, &outcome);
+        let mut expiry = Expiry::new();
+        expiry.elected(0, &table);
+        vec![State {
+            now: 0,
+            table,
+            index: 1,
+            expiry,
+            members,
+            boots: [1, 1],
+            in_flight: Vec::new(),
+            lost: 0,
+            crashed: false,
+            elections: 0,
+            fence: Fence::new(),
+            done: [false; 5],
+            highest_taken: Token(0),
+            stale_taken: false,
+        }]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        if state.now < END_MS {
+            actions.push(Action::Tick);
+        }
+        if state.in_flight.len() < MAX_IN_FLIGHT {
+            for m in 0..2 {
+                if !state.done[m] && state.members[m].clone().poll(state.now).is_some() {
+                    actions.push(Action::Poll(m));
+                }
+                if !state.done[2 + m] && state.members[m].clone().may_act(state.now).is_some() {
+                    actions.push(Action::Act(m));
+                }
+            }
+            if !state.done[4] && !state.expiry.clone().due(state.now).is_empty() {
+                actions.push(Action::Due);
+            }
+        }
+        for k in 0..state.in_flight.len() {
+            if k == 0 || state.in_flight[k] != state.in_flight[k - 1] {
+                actions.push(Action::Deliver(k));
+                if state.lost < MAX_LOST {
+                    actions.push(Action::Lose(k));
+                }
+            }
+        }
+        if !state.crashed {
+            actions.extend([Action::Crash(0), Action::Crash(1)]);
+        }
+        if state.elections < 1 {
+            actions.push(Action::Elect);
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut state = last.clone();
+        let now = state.now;
+        match action {
+            Action::Tick => {
+                state.now += STEP_MS;
+                state.done = [false; 5];
+            }
+            Action::Poll(m) => {
+                state.done[m] = true;
+                let command = state.members[m].poll(now)?;
+                send(&mut state, Message::ToLog(command));
+            }
+            Action::Act(m) => {
+                state.done[2 + m] = true;
+                let token = state.members[m].may_act(now)?;
+                send(&mut state, Message::ToSink(token));
+            }
+            Action::Due => {
+                state.done[4] = true;
+                for command in state.expiry.due(now) {
+                    send(&mut state, Message::ToLog(command));
+                }
+            }
+            Action::Lose(k) => {
+                state.in_flight.remove(k);
+                state.lost += 1;
+            }
+            Action::Crash(m) => {
+                state.crashed = true;
+                state.boots[m] += 1;
+                state.members[m] = holder(m, state.boots[m]);
+            }
+            Action::Elect => {
+                state.elections += 1;
+                state.expiry.step_down();
+                state.expiry.elected(now, &state.table);
+            }
+            Action::Deliver(k) => match state.in_flight.remove(k) {
+                Message::ToLog(command) => {
+                    state.index += 1;
+                    let outcome = state.table.apply(state.index, &command);
+                    state.expiry.observe(now, &state.table);
+                    if let Command::Acquire { member, request, .. }
+                    | Command::Release { member, request, .. } = command
+                    {
+                        send(&mut state, Message::ToMember(member.0 as usize, request, outcome));
+                    }
+                }
+                Message::ToMember(m, request, outcome) => state.members[m].answer(now, request, &outcome),
+                Message::ToSink(token) => {
+                    let taken = !self.fenced || state.fence.admit(&task(), token).is_ok();
+                    if taken {
+                        state.stale_taken |= token < state.highest_taken;
+                        state.highest_taken = state.highest_taken.max(token);
+                    }
+                }
+            },
+        }
+        Some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("never two members that may act at once", |_, s: &State| {
+                let acting = s.members.iter().filter(|h| (*h).clone().may_act(s.now).is_some()).count();
+                acting <= 1
+            }),
+            Property::always("the sink never takes a token lower than one it took", |_, s: &State| {
+                !s.stale_taken
+            }),
+            Property::sometimes("the task passes to the other member", |_, s: &State| {
+                s.table.lease(&task()).is_some_and(|l| l.holder == MemberId(1)) && s.highest_taken.0 > 0
+            }),
+        ]
+    }
+}
+
+#[test]
+fn every_interleaving_keeps_one_holder_and_the_fence() {
+    let checker = Leases { fenced: true }.checker().threads(cores()).spawn_dfs().join();
+    eprintln!("states: {}", checker.unique_state_count());
+    checker.assert_properties();
+}
+
+#[test]
+fn without_the_fence_an_old_token_is_taken_after_a_new_one() {
+    let checker = Leases { fenced: false }.checker().threads(cores()).spawn_dfs().join();
+    let path = checker.assert_any_discovery("the sink never takes a token lower than one it took");
+    let steps = path.into_actions();
+    eprintln!("counterexample of {} steps: {steps:?}", steps.len());
+    checker.assert_no_discovery("never two members that may act at once");
+}
+
+fn cores() -> usize {
+    std::thread::available_parallelism().map_or(2, |n| n.get())
+}
