--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -19,9 +19,9 @@
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, PartialOrd, Ord)]
 enum Message {
-    ToLog(Command),
-    ToMember(usize, RequestId, Outcome),
-    ToSink(Token),
+    Log(Command),
+    Member(usize, RequestId, Outcome),
+    Sink(Token),
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq)]
@@ -152,17 +152,17 @@
             Action::Poll(m) => {
                 state.done[m] = true;
                 let command = state.members[m].poll(now)?;
-                send(&mut state, Message::ToLog(command));
+                send(&mut state, Message::Log(command));
             }
             Action::Act(m) => {
                 state.done[2 + m] = true;
                 let token = state.members[m].may_act(now)?;
-                send(&mut state, Message::ToSink(token));
+                send(&mut state, Message::Sink(token));
             }
             Action::Due => {
                 state.done[4] = true;
                 for command in state.expiry.due(now) {
-                    send(&mut state, Message::ToLog(command));
+                    send(&mut state, Message::Log(command));
                 }
             }
             Action::Lose(k) => {
@@ -180,18 +180,18 @@
                 state.expiry.elected(now, &state.table);
             }
             Action::Deliver(k) => match state.in_flight.remove(k) {
-                Message::ToLog(command) => {
+                Message::Log(command) => {
                     state.index += 1;
                     let outcome = state.table.apply(state.index, &command);
                     state.expiry.observe(now, &state.table);
                     if let Command::Acquire { member, request, .. }
                     | Command::Release { member, request, .. } = command
                     {
-                        send(&mut state, Message::ToMember(member.0 as usize, request, outcome));
+                        send(&mut state, Message::Member(member.0 as usize, request, outcome));
                     }
                 }
-                Message::ToMember(m, request, outcome) => state.members[m].answer(now, request, &outcome),
-                Message::ToSink(token) => {
+                Message::Member(m, request, outcome) => state.members[m].answer(now, request, &outcome),
+                Message::Sink(token) => {
                     let taken = !self.fenced || state.fence.admit(&task(), token).is_ok();
                     if taken {
                         state.stale_taken |= token < state.highest_taken;
