A member counts its lease requests for each task apart; a second task was answered as the first

The five-process test has one task, so it never showed.

Change: the table keeps the last answer per (member, task), bounded by members times tasks (only tasks it knows are remembered); last_request takes the task. Test: one member asks for two tasks with request id 1 each; it failed without the change ('answered as a copy of the other task's request', Granted(Token(1)) for Granted(Token(2))) and passes with it.

--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -41,7 +41,7 @@
 
 impl Holder {
     /// A holder of `task` for `member`, with leases of `ttl_ms`, whose next request id is above `last` (the
-    /// table's [`crate::LeaseTable::last_request`] for it, read before the first request after a start).
+    /// table's [`crate::LeaseTable::last_request`] for it, and the task, or any id above those of earlier starts).
     pub fn new(task: Task, member: MemberId, ttl_ms: u64, last: Option<RequestId>) -> Self {
         let next_request = last.map_or(1, |r| r.0 + 1);
         Self { task, member, ttl_ms, want: false, next_request, state: HolderState::Idle { next_ms: 0 } }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -11,8 +11,9 @@
 pub struct LeaseTable {
     /// Every task ever asked for (at most [`MAX_TASKS`]), with its lease if one stands.
     tasks: BTreeMap<Task, Option<Lease>>,
-    /// Each member's last request and what it was answered (at most [`MAX_MEMBERS`]).
-    answers: BTreeMap<MemberId, (RequestId, Outcome)>,
+    /// Each member's last request for each task and what it was answered (at most [`MAX_MEMBERS`] members of
+    /// [`MAX_TASKS`] tasks). A member counts its requests for each task apart.
+    answers: BTreeMap<(MemberId, Task), (RequestId, Outcome)>,
     /// The index of the last command applied.
     applied: u64,
 }
@@ -33,9 +34,9 @@
         self.tasks.iter().filter_map(|(task, lease)| lease.as_ref().map(|l| (task, l)))
     }
 
-    /// The last request id of `member` that was applied: a member that restarts goes on above it.
-    pub fn last_request(&self, member: MemberId) -> Option<RequestId> {
-        self.answers.get(&member).map(|a| a.0)
+    /// The last request id of `member` for `task` that was applied: a member that restarts goes on above it.
+    pub fn last_request(&self, member: MemberId, task: &Task) -> Option<RequestId> {
+        self.answers.get(&(member, task.clone())).map(|a| a.0)
     }
 
     /// The index of the last command applied.
@@ -49,12 +50,12 @@
         self.applied = index;
         match command {
             Command::Acquire { task, member, request, ttl_ms, holding } => {
-                self.answered(*member, *request, |table| {
+                self.answered(*member, task, *request, |table| {
                     table.acquire(index, task, *member, *ttl_ms, *holding)
                 })
             }
             Command::Release { task, member, request, token } => {
-                self.answered(*member, *request, |table| table.release(task, *member, *token))
+                self.answered(*member, task, *request, |table| table.release(task, *member, *token))
             }
             Command::Expire { task, token, renewal } => self.expire(task, *token, *renewal),
         }
@@ -64,20 +65,33 @@
     fn answered(
         &mut self,
         member: MemberId,
+        task: &Task,
         request: RequestId,
         act: impl FnOnce(&mut Self) -> Outcome,
     ) -> Outcome {
-        match self.answers.get(&member) {
+        let key = (member, task.clone());
+        match self.answers.get(&key) {
             Some((last, outcome)) if *last == request => return outcome.clone(),
             Some((last, _)) if *last > request => return Outcome::Refused(Refusal::OldRequest),
-            None if self.answers.len() >= MAX_MEMBERS => return Outcome::Refused(Refusal::TooManyMembers),
+            None if !self.answers.keys().any(|(m, _)| *m == member) && self.members() >= MAX_MEMBERS => {
+                return Outcome::Refused(Refusal::TooManyMembers)
+            }
             _ => {}
         }
         let outcome = act(self);
-        self.answers.insert(member, (request, outcome.clone()));
+        // Only tasks the table knows are remembered, so answers stay within members times tasks.
+        if self.tasks.contains_key(task) {
+            self.answers.insert(key, (request, outcome.clone()));
+        }
         outcome
     }
 
+    /// Members that have asked.
+    fn members(&self) -> usize {
+        let mut last = None;
+        self.answers.keys().filter(|(m, _)| last.replace(*m) != Some(*m)).count()
+    }
+
     fn acquire(
         &mut self,
         index: u64,
--- a/crates/fleet/tests/table.rs
+++ b/crates/fleet/tests/table.rs
@@ -47,19 +47,19 @@
             let outcome = table.apply(index, &command);
             // A copy of a member's last request is answered as before and changes nothing; an older one is refused.
             if kind == 2 {
-                let (Command::Acquire { member, request, .. } | Command::Release { member, request, .. }) = &command
+                let (Command::Acquire { member, request, task, .. } | Command::Release { member, request, task, .. }) = &command
                 else { unreachable!() };
-                if before.last_request(*member) == Some(*request) {
+                if before.last_request(*member, task) == Some(*request) {
                     prop_assert_eq!(table.leases().collect::<Vec<_>>(), before.leases().collect::<Vec<_>>());
-                } else if before.last_request(*member) > Some(*request) {
+                } else if before.last_request(*member, task) > Some(*request) {
                     prop_assert_eq!(&outcome, &Outcome::Refused(Refusal::OldRequest));
                 }
             }
             // A grant takes the log index as token, above every earlier token of the task, and only of a free task
             // or the asker's own.
             let replay = match &command {
-                Command::Acquire { member, request, .. } | Command::Release { member, request, .. } => {
-                    before.last_request(*member) == Some(*request)
+                Command::Acquire { member, request, task, .. } | Command::Release { member, request, task, .. } => {
+                    before.last_request(*member, task) == Some(*request)
                 }
                 Command::Expire { .. } => false,
             };
@@ -141,3 +141,23 @@
     }
     assert_eq!(table.apply(100, &ask("one-more", 1_000, 100)), Outcome::Refused(Refusal::TooManyTasks));
 }
+
+#[test]
+fn a_member_counts_its_requests_for_each_task_apart() {
+    let mut table = LeaseTable::new();
+    let ask = |name: &str| Command::Acquire {
+        task: Task(name.into()),
+        member: MemberId(1),
+        request: RequestId(1),
+        ttl_ms: 1_000,
+        holding: None,
+    };
+    assert_eq!(table.apply(1, &ask("a")), Outcome::Granted(Token(1)));
+    assert_eq!(
+        table.apply(2, &ask("b")),
+        Outcome::Granted(Token(2)),
+        "answered as a copy of the other task's request"
+    );
+    assert_eq!(table.leases().count(), 2);
+    assert_eq!(table.apply(3, &ask("b")), Outcome::Granted(Token(2)), "a copy is answered as the first time");
+}
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -153,7 +153,7 @@
         if !self.holders.contains_key(&task) && self.holders.len() >= pinetrestle_fleet::MAX_TASKS {
             return Err("this member wants 64 tasks already".into());
         }
-        let base = Some(RequestId((self.boot << 32) + (1 << 31)));
+        let base = Some(RequestId(self.boot << 32));
         let (id, lease_ms) = (self.id, self.config.lease_ms);
         let holder = self
             .holders
--- a/crates/member/src/net.rs
+++ b/crates/member/src/net.rs
@@ -43,27 +43,15 @@
     let (inbox, mut inbound) = mpsc::channel(INBOX);
     let (commands_tx, mut commands) = mpsc::channel(COMMANDS);
     tokio::task::spawn_local(accept(listener, inbox, commands_tx, log.clone()));
-    let mut outs: BTreeMap<u64, mpsc::Sender<Vec<u8>>> = BTreeMap::new();
-    for (id, addr) in peers {
+    let me = member_id(&member);
+    let link_to = |addr: SocketAddr, hello: Hello| {
         let (tx, rx) = mpsc::channel(PEER_QUEUE);
-        tokio::task::spawn_local(send_to(
-            addr,
-            wire::encode(&Hello::Peer(member_id(&member))),
-            rx,
-            log.clone(),
-        ));
-        outs.insert(id, tx);
-    }
-    let actions = sink.map(|addr| {
-        let (tx, rx) = mpsc::channel(PEER_QUEUE);
-        tokio::task::spawn_local(send_to(
-            addr,
-            wire::encode(&Hello::Actions(member_id(&member))),
-            rx,
-            log.clone(),
-        ));
+        tokio::task::spawn_local(send_to(addr, wire::encode(&hello), rx, log.clone()));
         tx
-    });
+    };
+    let outs: BTreeMap<u64, mpsc::Sender<Vec<u8>>> =
+        peers.into_iter().map(|(id, addr)| (id, link_to(addr, Hello::Peer(me)))).collect();
+    let actions = sink.map(|addr| link_to(addr, Hello::Actions(me)));
     let mut ticks = tokio::time::interval(tick);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
