The five-process test's sink takes a port of the kernel's choosing and says which

The sink's port was checked free by the test and then bound by the sink process after; something took it between (no process of ours was left over; what took it is not found). Now the sink binds 127.0.0.1:0 and writes 'listening ADDR' on standard error; the test reads it before writing the members' files.

--- a/crates/member/src/sink.rs
+++ b/crates/member/src/sink.rs
@@ -39,6 +39,8 @@
 /// When the address can't be bound or the record can't be written.
 pub async fn run(listen: SocketAddr, mut out: Box<dyn Write>) -> std::io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
+    // The address taken, port 0 resolved, for whoever started the sink.
+    eprintln!("listening {}", listener.local_addr()?);
     let (tx, mut rx) = mpsc::channel::<(u64, Action)>(QUEUE);
     tokio::task::spawn_local(async move {
         loop {
--- a/crates/member/tests/five.rs
+++ b/crates/member/tests/five.rs
@@ -46,6 +46,18 @@
     found
 }
 
+/// The address the sink says it listens on, waited for up to 10 s.
+async fn sink_address(log: &Path) -> SocketAddr {
+    for _ in 0..200 {
+        let text = std::fs::read_to_string(log).unwrap_or_default();
+        if let Some(addr) = text.lines().find_map(|l| l.strip_prefix("listening ")) {
+            return addr.trim().parse().unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the sink named no address: {}", std::fs::read_to_string(log).unwrap_or_default());
+}
+
 fn wall_us() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64
 }
@@ -60,9 +72,17 @@
 
 impl Fleet {
     async fn start(dir: &Path, seed: u64) -> Fleet {
-        let held = ports(seed, MEMBERS + 1);
-        let addrs: BTreeMap<u64, SocketAddr> = (1..=MEMBERS).map(|i| (i, held[i as usize].1)).collect();
-        let sink_addr = held[0].1;
+        // The sink takes a port of the kernel's choosing and says which.
+        let sink = Command::new(env!("CARGO_BIN_EXE_pinetrestle"))
+            .args(["fleet", "sink", "--listen", "127.0.0.1:0", "--record"])
+            .arg(dir.join("sink.jsonl"))
+            .stdin(Stdio::null())
+            .stderr(std::fs::File::create(dir.join("sink.log")).unwrap())
+            .spawn()
+            .unwrap();
+        let sink_addr = sink_address(&dir.join("sink.log")).await;
+        let held = ports(seed, MEMBERS);
+        let addrs: BTreeMap<u64, SocketAddr> = (1..=MEMBERS).map(|i| (i, held[i as usize - 1].1)).collect();
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let mut proxies = BTreeMap::new();
         for from in 1..=MEMBERS {
@@ -93,13 +113,6 @@
             std::fs::write(dir.join(format!("m{from}.json5")), text).unwrap();
         }
         drop(held);
-        let sink = Command::new(env!("CARGO_BIN_EXE_pinetrestle"))
-            .args(["fleet", "sink", "--listen", &sink_addr.to_string(), "--record"])
-            .arg(dir.join("sink.jsonl"))
-            .stdin(Stdio::null())
-            .stderr(std::fs::File::create(dir.join("sink.log")).unwrap())
-            .spawn()
-            .unwrap();
         let mut fleet = Fleet { dir: dir.to_path_buf(), addrs, children: BTreeMap::new(), sink, proxies };
         for id in 1..=MEMBERS {
             fleet.up(id);
