The simulation jumps one member's clock forwards and back; the fence takes no stale token

Change: the millisecond simulation gains a run in which member 0's clock jumps by up to three leases, forwards or back, about 27 times a minute (rates otherwise within 0.9 %). Checked: no stale token taken at the fence, the task still held; and the jumps must show two believers and refusals, or the run tested nothing.

--- a/crates/fleet/tests/timed.rs
+++ b/crates/fleet/tests/timed.rs
@@ -23,6 +23,8 @@
     Spread(u64),
     /// Each member's clock rate in millionths of real time.
     Rates([u64; MEMBERS]),
+    /// Rates as in `Spread`, and member 0's clock jumps now and then, forwards or back, by up to three leases.
+    Jumps(u64),
 }
 
 #[derive(Default, Debug)]
@@ -39,6 +41,8 @@
     actions: u64,
     /// The longest stretch of real time in which nobody might act, after the first grant.
     longest_gap: u64,
+    /// Jumps of a clock.
+    jumps: u64,
 }
 
 struct Member {
@@ -72,12 +76,12 @@
             let mut holder = Holder::new(task.clone(), MemberId(m as u64), TTL, None);
             holder.want(true);
             let rate_ppm = match clocks {
-                Clocks::Spread(spread) => {
+                Clocks::Spread(spread) | Clocks::Jumps(spread) => {
                     1_000_000 - spread * 1_000 + random.random_range(0..=2 * spread) * 1_000
                 }
                 Clocks::Rates(rates) => rates[m],
             };
-            Member { holder, offset: random.random_range(0..1_000_000), rate_ppm, stalled_until: 0 }
+            Member { holder, offset: random.random_range(1_000_000..2_000_000), rate_ppm, stalled_until: 0 }
         })
         .collect();
     let mut table = LeaseTable::new();
@@ -97,6 +101,12 @@
             let m = random.random_range(0..MEMBERS);
             members[m].stalled_until = now + random.random_range(0..3 * TTL);
         }
+        if matches!(clocks, Clocks::Jumps(_)) && random.random_range(0..2_000) == 0 {
+            let by = random.random_range(1..3 * TTL);
+            let jumped = &mut members[0];
+            jumped.offset = if random.random_bool(0.5) { jumped.offset + by } else { jumped.offset - by };
+            report.jumps += 1;
+        }
         // A leader change now and then, and always when the leader has been stalled for an election's time.
         let deposed = members[leader].stalled_until > now + ELECTION && members[leader].stalled_until != 0;
         if random.random_range(0..5_000) == 0 || deposed {
@@ -218,3 +228,20 @@
     assert!(overlaps > 0, "a clock at half speed never let two believe: the simulation shows nothing");
     assert!(refused > 0, "nothing was fenced off");
 }
+
+#[test]
+fn a_clock_that_jumps_forwards_and_back_on_one_member_lets_the_fence_take_no_stale_token() {
+    let (mut overlaps, mut refused, mut jumps) = (0, 0, 0);
+    for seed in 0..20 {
+        let report = run(seed, Clocks::Jumps(9));
+        assert_eq!(report.stale_taken, 0, "seed {seed}: {report:?}");
+        assert!(report.actions > 1_000, "seed {seed}: the task was hardly held: {report:?}");
+        overlaps += report.overlaps;
+        refused += report.refused;
+        jumps += report.jumps;
+    }
+    assert!(jumps > 400, "so few jumps test little: {jumps}");
+    // A jump back on the holder, or forward on the leader, is a clock out of its bound: two may believe, and
+    // only the fence keeps what is done in order. If no run showed that, the jumps reached nothing.
+    assert!(overlaps > 0 && refused > 0, "the jumps changed nothing: {overlaps} overlaps, {refused} refused");
+}
