A member that waits for a task asks again after a lease, or at once when it sees the lease end

Change: a Busy answer makes the holder wait a whole lease; every member applies the log, and when it applies a Release or Expire of a task it waits for, Holder::freed lets it ask with its next poll.

New holder test seen to fail with the old quarter-lease wait.

--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -137,11 +137,22 @@
                 self.next_request += 1;
                 HolderState::Idle { next_ms: now_ms }
             }
+            // Another holds it: its end is seen in the applied log ([`Holder::freed`]); asking again after a
+            // lease only covers an end that was not seen.
+            Outcome::Busy { .. } => HolderState::Idle { next_ms: now_ms + self.ttl_ms },
             _ => HolderState::Idle { next_ms: now_ms + self.ttl_ms / 4 },
         };
         self.may_act(now_ms);
     }
 
+    /// The member saw at `now_ms` the task's lease end in the applied log (released or expired): a holder that
+    /// waits asks with its next poll.
+    pub fn freed(&mut self, now_ms: u64) {
+        if let HolderState::Idle { next_ms } = &mut self.state {
+            *next_ms = (*next_ms).min(now_ms);
+        }
+    }
+
     fn take_request(&mut self) -> RequestId {
         self.next_request += 1;
         RequestId(self.next_request - 1)
--- a/crates/fleet/tests/holder.rs
+++ b/crates/fleet/tests/holder.rs
@@ -62,3 +62,17 @@
     assert_eq!(token, Token(2));
     assert_eq!(holder.may_act(10), None);
 }
+
+#[test]
+fn a_waiter_asks_again_after_a_lease_or_at_once_when_it_sees_the_lease_end() {
+    let mut holder = holder();
+    let Some(Command::Acquire { request, .. }) = holder.poll(0) else { panic!() };
+    holder.answer(5, request, &Outcome::Busy { holder: MemberId(1), token: Token(20) });
+    assert_eq!(holder.poll(900), None, "a waiter asked again before a lease had passed");
+    assert!(holder.poll(1_005).is_some(), "a waiter that saw no end never asked again");
+    let mut holder = self::holder();
+    let Some(Command::Acquire { request, .. }) = holder.poll(0) else { panic!() };
+    holder.answer(5, request, &Outcome::Busy { holder: MemberId(1), token: Token(20) });
+    holder.freed(300);
+    assert!(holder.poll(300).is_some(), "the lease's end was seen and the waiter did not ask");
+}
--- a/crates/fleet/tests/timed.rs
+++ b/crates/fleet/tests/timed.rs
@@ -66,6 +66,8 @@
     Answer(usize, RequestId, Outcome),
     /// An action arrives at the fence.
     Act(Token),
+    /// A member applies a lease's end.
+    Freed(usize),
 }
 
 fn run(seed: u64, clocks: Clocks) -> Report {
@@ -128,6 +130,14 @@
                     index += 1;
                     let outcome = table.apply(index, &command);
                     report.grants += u64::from(matches!(outcome, Outcome::Granted(_)));
+                    if matches!(outcome, Outcome::Released | Outcome::Expired) {
+                        for m in 0..MEMBERS {
+                            if random.random_range(0..10) > 0 {
+                                order += 1;
+                                events.insert((now + random.random_range(0..60), order), Event::Freed(m));
+                            }
+                        }
+                    }
                     expiry.observe(members[leader].local(now), &table);
                     if let Command::Acquire { request, .. } | Command::Release { request, .. } = command {
                         if random.random_range(0..10) > 0 {
@@ -146,6 +156,13 @@
                         member.holder.answer(local, request, &outcome);
                     }
                 }
+                Event::Freed(to) => {
+                    let member = &mut members[to];
+                    if member.stalled_until <= now {
+                        let local = member.local(now);
+                        member.holder.freed(local);
+                    }
+                }
                 Event::Act(token) => match fence.admit(&task, token) {
                     Ok(()) => {
                         report.actions += 1;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -331,6 +331,14 @@
                     }
                 }
             }
+            if matches!(outcome, Outcome::Released | Outcome::Expired) {
+                let (Command::Acquire { task, .. }
+                | Command::Release { task, .. }
+                | Command::Expire { task, .. }) = &command;
+                if let Some(holder) = self.holders.get_mut(task) {
+                    holder.freed(now);
+                }
+            }
         }
         self.expiry.observe(now, &self.table);
     }
