Fleet: one place for a command's task, a task name's bound, the wall clock and entry bytes

The task of a command was taken out by the same three-armed match in three places of member.rs; the bound of a task's name was checked in the table, in Member::want and in the fleet file's check; the wall clock in microseconds was read by its own line in member.rs and in the sink; Raft entries were turned into bytes by one expression in append and in replace. net.rs sent Raft frames and commands over two channels of one enum, so each loop arm matched a case that could not come, and wrapped member.id() in a function of its own.

Change: Command::task, Task::fits, wire::wall_us, raftstore's encoded; the two channels typed by what they carry; the wrapper gone. The sink's at_us is u64 (same JSON).

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -2,7 +2,7 @@
 //! table.
 
 use crate::types::{Command, Lease, MemberId, Outcome, Refusal, RequestId, Task, Token};
-use crate::types::{MAX_MEMBERS, MAX_TASKS, MAX_TASK_NAME, TTL_MS};
+use crate::types::{MAX_MEMBERS, MAX_TASKS, TTL_MS};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -103,7 +103,7 @@
         if !TTL_MS.contains(&ttl_ms) {
             return Outcome::Refused(Refusal::BadTtl);
         }
-        if task.0.is_empty() || task.0.len() > MAX_TASK_NAME {
+        if !Task::fits(&task.0) {
             return Outcome::Refused(Refusal::BadTask);
         }
         if !self.tasks.contains_key(task) && self.tasks.len() >= MAX_TASKS {
--- a/crates/fleet/src/types.rs
+++ b/crates/fleet/src/types.rs
@@ -19,6 +19,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Task(pub String);
 
+impl Task {
+    /// Whether `name` may name a task: 1 to [`MAX_TASK_NAME`] bytes.
+    pub fn fits(name: &str) -> bool {
+        !name.is_empty() && name.len() <= MAX_TASK_NAME
+    }
+}
+
 /// Tasks the table holds at most; an acquire of one more is refused.
 pub const MAX_TASKS: usize = 64;
 /// Members the table answers at most; the fleet's configuration names no more.
@@ -70,6 +77,17 @@
     },
 }
 
+impl Command {
+    /// The task the command is about.
+    pub fn task(&self) -> &Task {
+        match self {
+            Command::Acquire { task, .. } | Command::Release { task, .. } | Command::Expire { task, .. } => {
+                task
+            }
+        }
+    }
+}
+
 /// A lease as the table holds it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Lease {
--- a/crates/member/src/config.rs
+++ b/crates/member/src/config.rs
@@ -1,6 +1,6 @@
 //! The fleet's operator file: who the members are, where each keeps its data, the times of Raft and leases.
 
-use pinetrestle_fleet::{MAX_MEMBERS, MAX_TASKS, MAX_TASK_NAME, TTL_MS};
+use pinetrestle_fleet::{Task, MAX_MEMBERS, MAX_TASKS, MAX_TASK_NAME, TTL_MS};
 use pinetrestle_operator::{Checked, Wrong};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -148,7 +148,7 @@
         if self.tasks.len() > MAX_TASKS {
             return Err(Wrong::new("tasks", "names too many", format!("name at most {MAX_TASKS}")));
         }
-        if let Some(i) = self.tasks.iter().position(|t| t.is_empty() || t.len() > MAX_TASK_NAME) {
+        if let Some(i) = self.tasks.iter().position(|t| !Task::fits(t)) {
             return Err(Wrong::new(
                 format!("tasks[{i}]"),
                 "is empty or too long",
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -147,7 +147,7 @@
     /// Takes a wish from the `fleet` command.
     pub fn want(&mut self, task: &str, want: bool) -> Result<(), String> {
         let task = Task(task.to_owned());
-        if task.0.is_empty() || task.0.len() > pinetrestle_fleet::MAX_TASK_NAME {
+        if !Task::fits(&task.0) {
             return Err("a task's name has 1 to 64 bytes".into());
         }
         if !self.holders.contains_key(&task) && self.holders.len() >= pinetrestle_fleet::MAX_TASKS {
@@ -246,7 +246,7 @@
                     }
                     if due {
                         self.act_seq += 1;
-                        let sent_us = wall_us();
+                        let sent_us = wire::wall_us();
                         out.actions.push(Action {
                             task: task.0.clone(),
                             token: token.0,
@@ -315,11 +315,7 @@
                 warn!(self.log, "entry does not decode"; "index" => entry.index);
                 continue;
             };
-            let before = match &command {
-                Command::Acquire { task, .. }
-                | Command::Release { task, .. }
-                | Command::Expire { task, .. } => self.table.lease(task).cloned(),
-            };
+            let before = self.table.lease(command.task()).cloned();
             let outcome = self.table.apply(entry.index, &command);
             self.note(&command, &outcome, before.as_ref());
             if let Command::Acquire { task, member, request, .. }
@@ -332,10 +328,7 @@
                 }
             }
             if matches!(outcome, Outcome::Released | Outcome::Expired) {
-                let (Command::Acquire { task, .. }
-                | Command::Release { task, .. }
-                | Command::Expire { task, .. }) = &command;
-                if let Some(holder) = self.holders.get_mut(task) {
+                if let Some(holder) = self.holders.get_mut(command.task()) {
                     holder.freed(now);
                 }
             }
@@ -345,11 +338,7 @@
 
     /// One log line for each lease that begins or ends, with its reason.
     fn note(&self, command: &Command, outcome: &Outcome, before: Option<&pinetrestle_fleet::Lease>) {
-        let task = match command {
-            Command::Acquire { task, .. } | Command::Release { task, .. } | Command::Expire { task, .. } => {
-                &task.0
-            }
-        };
+        let task = &command.task().0;
         let ended = |reason: &str| {
             if let Some(lease) = before {
                 info!(self.log, "lease ended"; "task" => task, "holder" => lease.holder.0, "token" => lease.token.0,
@@ -385,10 +374,6 @@
     }
 }
 
-fn wall_us() -> u64 {
-    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
-}
-
 fn push(out: &mut Vec<(u64, Vec<u8>)>, messages: Vec<Message>) {
     for message in messages {
         out.push((message.to, message.write_to_bytes().unwrap_or_default()));
--- a/crates/member/src/net.rs
+++ b/crates/member/src/net.rs
@@ -19,11 +19,8 @@
 /// Commands of the `fleet` program waiting, at most.
 pub const COMMANDS: usize = 64;
 
-/// What reaches the member's loop from the sockets.
-enum Inbound {
-    Raft(Vec<u8>),
-    Ask(Ask, oneshot::Sender<Reply>),
-}
+/// A command of the `fleet` program and where its answer goes.
+type Command = (Ask, oneshot::Sender<Reply>);
 
 /// Runs `member` until the process ends: listens on its address, ticks, and carries out what it decides.
 ///
@@ -43,7 +40,7 @@
     let (inbox, mut inbound) = mpsc::channel(INBOX);
     let (commands_tx, mut commands) = mpsc::channel(COMMANDS);
     tokio::task::spawn_local(accept(listener, inbox, commands_tx, log.clone()));
-    let me = member_id(&member);
+    let me = member.id();
     let link_to = |addr: SocketAddr, hello: Hello| {
         let (tx, rx) = mpsc::channel(PEER_QUEUE);
         tokio::task::spawn_local(send_to(addr, wire::encode(&hello), rx, log.clone()));
@@ -58,12 +55,8 @@
         let mut out = Out::default();
         tokio::select! {
             _ = ticks.tick() => member.tick(&mut out)?,
-            Some(inbound) = inbound.recv() => {
-                if let Inbound::Raft(bytes) = inbound {
-                    member.receive(&bytes);
-                }
-            }
-            Some(Inbound::Ask(ask, reply)) = commands.recv() => {
+            Some(bytes) = inbound.recv() => member.receive(&bytes),
+            Some((ask, reply)) = commands.recv() => {
                 let answer = match ask {
                     Ask::Status => Reply::Status(member.status()),
                     Ask::Want { task, want } => match member.want(&task, want) {
@@ -78,10 +71,6 @@
     }
 }
 
-fn member_id(member: &Member) -> u64 {
-    member.id()
-}
-
 fn carry(
     out: &mut Out,
     outs: &BTreeMap<u64, mpsc::Sender<Vec<u8>>>,
@@ -101,8 +90,8 @@
 
 async fn accept(
     listener: TcpListener,
-    inbox: mpsc::Sender<Inbound>,
-    commands: mpsc::Sender<Inbound>,
+    inbox: mpsc::Sender<Vec<u8>>,
+    commands: mpsc::Sender<Command>,
     log: Logger,
 ) {
     loop {
@@ -121,8 +110,8 @@
 /// One connection in: a peer's messages until it ends, or one command and its answer.
 async fn serve(
     stream: TcpStream,
-    inbox: mpsc::Sender<Inbound>,
-    commands: mpsc::Sender<Inbound>,
+    inbox: mpsc::Sender<Vec<u8>>,
+    commands: mpsc::Sender<Command>,
     log: Logger,
 ) {
     let mut link = wire::framed(stream);
@@ -137,7 +126,7 @@
                 match link.next().await {
                     Some(Ok(frame)) => {
                         frames += 1;
-                        let _ = inbox.try_send(Inbound::Raft(frame.to_vec()));
+                        let _ = inbox.try_send(frame.to_vec());
                     }
                     Some(Err(_)) => break "bad_frame",
                     None => break "peer_closed",
@@ -147,7 +136,7 @@
         }
         Some(Hello::Command(ask)) => {
             let (tx, rx) = oneshot::channel();
-            let reply = if commands.try_send(Inbound::Ask(ask, tx)).is_err() {
+            let reply = if commands.try_send((ask, tx)).is_err() {
                 Reply::Refused("the member is busy; ask again".into())
             } else {
                 rx.await.unwrap_or(Reply::Refused("the member stopped".into()))
--- a/crates/member/src/raftstore.rs
+++ b/crates/member/src/raftstore.rs
@@ -43,6 +43,11 @@
     boot: u64,
 }
 
+/// Each entry as Raft's protobuf bytes.
+fn encoded(entries: &[Entry]) -> Vec<Vec<u8>> {
+    entries.iter().map(|e| e.write_to_bytes().unwrap_or_default()).collect()
+}
+
 fn bad(what: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what.to_owned())
 }
@@ -116,8 +121,7 @@
         if entries.is_empty() {
             return Ok(());
         }
-        let list = entries.iter().map(|e| e.write_to_bytes().unwrap_or_default()).collect();
-        self.write(&Record::Entries(list))?;
+        self.write(&Record::Entries(encoded(entries)))?;
         self.place(entries);
         Ok(())
     }
@@ -185,10 +189,8 @@
         self.write(&Record::Voters(self.conf.voters.clone()))?;
         let hard = self.hard.clone();
         self.set_hard(&hard)?;
-        let rest: Vec<Vec<u8>> =
-            self.entries.iter().map(|e| e.write_to_bytes().unwrap_or_default()).collect();
-        if !rest.is_empty() {
-            self.write(&Record::Entries(rest))?;
+        if !self.entries.is_empty() {
+            self.write(&Record::Entries(encoded(&self.entries)))?;
         }
         self.log.sync()?;
         self.log.compact(keep_from)
--- a/crates/member/src/sink.rs
+++ b/crates/member/src/sink.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
@@ -18,7 +18,7 @@
 #[derive(Debug, Serialize)]
 pub struct Line {
     /// Microseconds since the Unix epoch, by the sink's clock, when the action arrived.
-    pub at_us: u128,
+    pub at_us: u64,
     /// Who sent it.
     pub member: u64,
     /// The task.
@@ -66,7 +66,7 @@
     let mut fence = Fence::new();
     while let Some((member, action)) = rx.recv().await {
         let taken = fence.admit(&Task(action.task.clone()), Token(action.token)).is_ok();
-        let at_us = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros());
+        let at_us = wire::wall_us();
         let line = Line {
             at_us,
             member,
--- a/crates/member/src/wire.rs
+++ b/crates/member/src/wire.rs
@@ -129,3 +129,8 @@
 pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
     postcard::from_bytes(bytes).ok()
 }
+
+/// Microseconds of the wall clock since 1970, for records only: no decision reads it.
+pub fn wall_us() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+}
