Drains and releases agreed across a fleet: the decisions, a crate of its own

Cause: each front node drains and restarts on its own; nothing keeps too many of a fleet away at once.

Change: crates/rollout, no I/O and no clock. The replicated state grants slots within a budget (count, share, zone; members not heard count as away), canary first, steps judged by the front node's own counters, a halt that gives back what nobody began, resume, rollback the same way, index servers drained once every front node is told and brought back by a ramp the fleet shares. A begun slot ends only by its own agent's word. Conductor, agent and watcher are the parts that propose.

--- /dev/null
+++ b/crates/rollout/src/agent.rs
@@ -0,0 +1,312 @@
+//! One member's care for its own front node: it starts it, keeps it up, and carries out the steps of releases.
+
+use crate::state::{Rollout, Slot};
+use crate::types::{Command, Health};
+use pinetrestle_fleet::MemberId;
+use std::collections::BTreeSet;
+
+/// What the agent sees of its front node.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// The version of the process that lives, if one does.
+    pub running: Option<String>,
+    /// Whether it says that it is ready.
+    pub ready: bool,
+    /// What it has counted since its start, when last asked.
+    pub counts: Health,
+}
+
+/// What the agent's driver has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Act {
+    /// Start the front node with this version.
+    Start(String),
+    /// Ask it to end in order: it answers what it took.
+    Stop,
+    /// End it without a word: it did not end in order in time.
+    Kill,
+}
+
+/// Milliseconds between two tries of the same thing.
+const AGAIN_MS: u64 = 250;
+/// Milliseconds between two starts of a front node that ends by itself.
+const RESTART_MS: u64 = 500;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Mode {
+    /// No step: the version that should run.
+    Steady { want: String },
+    /// Under a begun slot.
+    Step { slot: Slot, phase: Phase, since: u64 },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Phase {
+    /// The version that is left ends.
+    Stopping,
+    /// The goal comes up.
+    Starting,
+    /// The goal serves and is watched; what it had counted when that began.
+    Settling(Health),
+    /// The goal did not serve: back to the version that was left, for this reason.
+    GoingBack(String),
+}
+
+/// Bounds of the agent's waits, in milliseconds of its own clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Waits {
+    stop_ms: u64,
+    start_ms: u64,
+}
+
+/// The agent of one front node. Time is its own process's monotonic milliseconds.
+#[derive(Debug, Clone)]
+pub struct Agent {
+    me: MemberId,
+    versions: BTreeSet<String>,
+    waits: Waits,
+    mode: Option<Mode>,
+    first: String,
+    next_seq: u64,
+    reported: Option<(String, bool, u64)>,
+    began_at: Option<(u64, u64)>,
+    told_at: Option<u64>,
+    started_at: Option<u64>,
+    stopped_at: Option<u64>,
+}
+
+impl Agent {
+    /// The agent of `me`'s front node, which can run `versions`, and starts with `first` where neither a process nor
+    /// the replicated state says which runs. Reports are numbered above `seq`, which lies above those of all earlier
+    /// starts. A front node may take `stop_ms` to end in order and `start_ms` to be ready.
+    pub fn new(
+        me: MemberId,
+        versions: BTreeSet<String>,
+        first: String,
+        seq: u64,
+        stop_ms: u64,
+        start_ms: u64,
+    ) -> Agent {
+        Agent {
+            me,
+            versions,
+            waits: Waits { stop_ms, start_ms },
+            mode: None,
+            first,
+            next_seq: seq + 1,
+            reported: None,
+            began_at: None,
+            told_at: None,
+            started_at: None,
+            stopped_at: None,
+        }
+    }
+
+    /// What it is about, in words, for status.
+    pub fn doing(&self) -> String {
+        match &self.mode {
+            None => "looking".to_owned(),
+            Some(Mode::Steady { want }) => format!("keeps {want}"),
+            Some(Mode::Step { slot, phase, .. }) => match phase {
+                Phase::Stopping => format!("stops {} for {}", slot.leaves, slot.goal),
+                Phase::Starting => format!("starts {}", slot.goal),
+                Phase::Settling(_) => format!("watches {}", slot.goal),
+                Phase::GoingBack(why) => format!("back to {}: {why}", slot.leaves),
+            },
+        }
+    }
+
+    /// The step's slot, if it is in one.
+    pub fn slot(&self) -> Option<u64> {
+        match &self.mode {
+            Some(Mode::Step { slot, .. }) => Some(slot.index),
+            _ => None,
+        }
+    }
+
+    /// Commands to propose and what to do with the front node at `now_ms`.
+    pub fn poll(&mut self, now_ms: u64, seen: &Seen, state: &Rollout) -> (Vec<Command>, Option<Act>) {
+        let mut commands = Vec::new();
+        let known = state.node(self.me);
+        let slot = known.and_then(|n| n.slot.clone());
+        let last = known.map(|n| n.version.clone()).filter(|v| self.versions.contains(v));
+        let mode = self.mode.take().unwrap_or_else(|| Mode::Steady {
+            want: seen.running.clone().or(last).unwrap_or_else(|| self.first.clone()),
+        });
+        let (mode, act) = match mode {
+            Mode::Steady { want } => self.steady(now_ms, seen, want, slot, state, &mut commands),
+            Mode::Step { slot: mine, phase, .. } if slot.as_ref().is_none_or(|s| s.index != mine.index) => {
+                // The state has our word, and the version that goes with it is the one to keep.
+                let want = if matches!(phase, Phase::Settling(_)) { mine.goal } else { mine.leaves };
+                (Mode::Steady { want: seen.running.clone().unwrap_or(want) }, None)
+            }
+            Mode::Step { slot, phase, since } => {
+                self.step(now_ms, seen, slot, phase, since, state, &mut commands)
+            }
+        };
+        self.report(now_ms, seen, &mode, state, &mut commands);
+        self.mode = Some(mode);
+        (commands, act)
+    }
+
+    fn steady(
+        &mut self,
+        now: u64,
+        seen: &Seen,
+        want: String,
+        slot: Option<Slot>,
+        state: &Rollout,
+        commands: &mut Vec<Command>,
+    ) -> (Mode, Option<Act>) {
+        if let Some(slot) = slot {
+            if !self.versions.contains(&slot.goal) {
+                if self.again(now) {
+                    let why = format!("no version {} here", slot.goal);
+                    commands.push(Command::Broken { node: self.me, slot: slot.index, why });
+                }
+            } else if !slot.begun {
+                if self.began_at.is_none_or(|(s, at)| s != slot.index || now >= at + AGAIN_MS) {
+                    self.began_at = Some((slot.index, now));
+                    commands.push(Command::Begin { node: self.me, slot: slot.index });
+                }
+            } else {
+                let phase = match &seen.running {
+                    Some(running) if *running == slot.goal => Phase::Starting,
+                    _ => Phase::Stopping,
+                };
+                (self.stopped_at, self.told_at) = (None, None);
+                return self.step(now, seen, slot, phase, now, state, commands);
+            }
+        }
+        let act = match &seen.running {
+            Some(_) => None,
+            None => self.start(now, &want),
+        };
+        (Mode::Steady { want }, act)
+    }
+
+    fn start(&mut self, now: u64, version: &str) -> Option<Act> {
+        if self.started_at.is_some_and(|at| now < at + RESTART_MS) {
+            return None;
+        }
+        self.started_at = Some(now);
+        Some(Act::Start(version.to_owned()))
+    }
+
+    /// Ends what runs: in order first, without a word after `stop_ms`.
+    fn stop(&mut self, now: u64) -> Option<Act> {
+        match self.stopped_at {
+            None => {
+                self.stopped_at = Some(now);
+                Some(Act::Stop)
+            }
+            Some(at) if now >= at + self.waits.stop_ms => {
+                self.stopped_at = Some(now);
+                Some(Act::Kill)
+            }
+            Some(_) => None,
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn step(
+        &mut self,
+        now: u64,
+        seen: &Seen,
+        slot: Slot,
+        phase: Phase,
+        since: u64,
+        state: &Rollout,
+        commands: &mut Vec<Command>,
+    ) -> (Mode, Option<Act>) {
+        let goal_runs = seen.running.as_deref() == Some(slot.goal.as_str());
+        let settle_ms = state.plan().map_or(0, |p| p.settle_ms);
+        let before = std::mem::discriminant(&phase);
+        let (next, act) = match phase {
+            Phase::Stopping if seen.running.is_none() => {
+                (Phase::Starting, Some(Act::Start(slot.goal.clone())))
+            }
+            Phase::Stopping => (Phase::Stopping, self.stop(now)),
+            Phase::Starting if goal_runs && seen.ready => (Phase::Settling(seen.counts), None),
+            Phase::Starting if now >= since + self.waits.start_ms => {
+                self.stopped_at = None;
+                (Phase::GoingBack("not ready in time".to_owned()), None)
+            }
+            Phase::Starting if seen.running.is_none() && now >= since + RESTART_MS => {
+                (Phase::GoingBack("it ended at its start".to_owned()), None)
+            }
+            Phase::Starting => (Phase::Starting, None),
+            // Once it was said that the goal serves, the word may be in the log: there is no way back from here, and
+            // a front node that ends now is started again like any other.
+            Phase::Settling(base) if seen.running.is_none() && self.told_at.is_some() => {
+                (Phase::Settling(base), self.start(now, &slot.goal))
+            }
+            Phase::Settling(_) if !goal_runs => {
+                (Phase::GoingBack("it ended while it was watched".to_owned()), None)
+            }
+            Phase::Settling(base) => {
+                if now >= since + settle_ms && self.again(now) {
+                    let health = Health {
+                        answered: seen.counts.answered.saturating_sub(base.answered),
+                        failed: seen.counts.failed.saturating_sub(base.failed),
+                        defects: seen.counts.defects,
+                    };
+                    commands.push(Command::Finished { node: self.me, slot: slot.index, health });
+                }
+                (Phase::Settling(base), None)
+            }
+            Phase::GoingBack(why) => {
+                let act = match &seen.running {
+                    Some(running) if *running == slot.leaves => {
+                        if seen.ready && self.again(now) {
+                            let why = why.clone();
+                            commands.push(Command::Broken { node: self.me, slot: slot.index, why });
+                        }
+                        None
+                    }
+                    Some(_) => self.stop(now),
+                    None => self.start(now, &slot.leaves),
+                };
+                (Phase::GoingBack(why), act)
+            }
+        };
+        if let Some(Act::Start(_)) = act {
+            self.started_at = Some(now);
+        }
+        let since = if std::mem::discriminant(&next) == before { since } else { now };
+        (Mode::Step { slot, phase: next, since }, act)
+    }
+
+    /// Whether the last word on a step is old enough to be said again.
+    fn again(&mut self, now: u64) -> bool {
+        let due = self.told_at.is_none_or(|at| now >= at + AGAIN_MS);
+        if due {
+            self.told_at = Some(now);
+        }
+        due
+    }
+
+    /// Says how the front node stands when the state has it otherwise.
+    fn report(&mut self, now: u64, seen: &Seen, mode: &Mode, state: &Rollout, commands: &mut Vec<Command>) {
+        let Some(known) = state.node(self.me) else { return };
+        let version = match (&seen.running, mode) {
+            (Some(running), _) => running.clone(),
+            (None, Mode::Steady { want }) => want.clone(),
+            (None, Mode::Step { slot, .. }) => slot.leaves.clone(),
+        };
+        let ready = seen.running.is_some() && seen.ready;
+        if !known.lost && known.seq > 0 && known.version == version && known.ready == ready {
+            return;
+        }
+        let fresh = self
+            .reported
+            .as_ref()
+            .is_none_or(|(v, r, at)| *v != version || *r != ready || now >= at + AGAIN_MS);
+        if fresh {
+            let seq = self.next_seq.max(known.seq + 1);
+            self.next_seq = seq + 1;
+            self.reported = Some((version.clone(), ready, now));
+            commands.push(Command::Report { node: self.me, seq, version, ready });
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/conductor.rs
@@ -0,0 +1,78 @@
+//! The holder of the release lease: which step to propose next, and which has taken too long.
+
+use crate::servers::Phase;
+use crate::state::{Rollout, Stage, Step};
+use crate::types::Command;
+use pinetrestle_fleet::{MemberId, Token};
+use std::collections::BTreeMap;
+
+/// What one conductor remembers while it holds the lease; one that takes over begins anew from the replicated state.
+#[derive(Debug, Default, Clone)]
+pub struct Conductor {
+    token: Option<Token>,
+    /// When each slot (by front node and index) was first seen, and when its overdue was last proposed.
+    slots: BTreeMap<(MemberId, u64), (u64, Option<u64>)>,
+    /// When each server's change was first seen.
+    ramps: BTreeMap<(String, u64), u64>,
+    /// When something was last proposed for a front node, to leave it time to be applied.
+    asked: BTreeMap<MemberId, u64>,
+}
+
+/// Milliseconds between two proposals of the same step.
+const AGAIN_MS: u64 = 250;
+
+impl Conductor {
+    /// One that has seen nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Commands to propose at `now_ms` under `token`, the release lease this member may act on.
+    pub fn poll(&mut self, now_ms: u64, token: Token, state: &Rollout) -> Vec<Command> {
+        if self.token != Some(token) {
+            *self = Conductor { token: Some(token), ..Conductor::default() };
+        }
+        let Some(plan) = state.plan() else { return Vec::new() };
+        let mut commands = Vec::new();
+        self.slots.retain(|(node, index), _| {
+            state.node(*node).and_then(|n| n.slot.as_ref()).is_some_and(|s| s.index == *index)
+        });
+        for (node, known) in state.nodes() {
+            let Some(slot) = &known.slot else { continue };
+            let (since, asked) = self.slots.entry((node, slot.index)).or_insert((now_ms, None));
+            if now_ms >= asked.unwrap_or(*since) + plan.step_ms {
+                *asked = Some(now_ms);
+                commands.push(Command::Overdue { token, node, slot: slot.index });
+            }
+        }
+        if let Some(release) = state.release().filter(|r| r.stage == Stage::Running) {
+            // Those that are away already go first: the budget is spent on them anyway.
+            let mut order: Vec<MemberId> =
+                release.steps.iter().filter(|(_, s)| **s == Step::Waiting).map(|(n, _)| *n).collect();
+            order.sort_by_key(|n| (!state.away(*n), *n));
+            // One more than fits is refused by the log itself; proposing only the first that may go keeps the log
+            // small, and the next poll sees what came of it.
+            let next = order.into_iter().find(|n| state.may_take(*n).is_ok());
+            if let Some(node) = next {
+                let asked = self.asked.get(&node).copied();
+                if asked.is_none_or(|at| now_ms >= at + AGAIN_MS) {
+                    self.asked.insert(node, now_ms);
+                    commands.push(Command::Take { token, node });
+                }
+            }
+        }
+        self.ramps
+            .retain(|(server, change), _| state.servers.get(server).is_some_and(|s| s.change == *change));
+        for (server, known) in state.servers() {
+            if !matches!(known.phase, Phase::Ramping(_)) || !known.up || state.halted().is_some() {
+                continue;
+            }
+            let since = self.ramps.entry((server.to_owned(), known.change)).or_insert(now_ms);
+            if now_ms >= *since + plan.ramp_ms {
+                *since = now_ms;
+                commands.push(Command::Ramp { token, server: server.to_owned(), change: known.change });
+            }
+        }
+        commands
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/servers.rs
@@ -0,0 +1,176 @@
+//! Index servers as the fleet sees them: drained and brought back for all front nodes at once.
+
+use crate::state::Rollout;
+use crate::types::{Outcome, Refusal, MAX_SERVERS};
+use pinetrestle_fleet::MemberId;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// Where an index server stands for the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Sent to by all front nodes.
+    Serving,
+    /// To be left by all: not every front node that is heard has been told yet.
+    Draining,
+    /// Every front node that is heard has been told: it may be stopped once its last parts are answered.
+    Drained,
+    /// Coming back: so many stages of the plan's ramp are open.
+    Ramping(u32),
+}
+
+/// One index server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerState {
+    /// Its zone.
+    pub zone: String,
+    /// Whether discovery lists it as up.
+    pub up: bool,
+    /// Where it stands.
+    pub phase: Phase,
+    /// The index of the last change of phase.
+    pub change: u64,
+    /// Front nodes whose list shows this change.
+    pub told: BTreeSet<MemberId>,
+}
+
+impl ServerState {
+    /// Whether it counts against the budget: drained by the fleet, or out by itself.
+    pub fn away(&self) -> bool {
+        !self.up || self.phase != Phase::Serving
+    }
+
+    fn moved(&mut self, phase: Phase, change: u64) {
+        self.phase = phase;
+        self.change = change;
+        self.told.clear();
+    }
+}
+
+impl Rollout {
+    /// Whether `node` may send to `server` now. Unknown servers are left to discovery: they may.
+    pub fn open_to(&self, node: MemberId, server: &str) -> bool {
+        let Some(state) = self.servers.get(server) else { return true };
+        match state.phase {
+            Phase::Serving => true,
+            Phase::Draining | Phase::Drained => false,
+            Phase::Ramping(stage) => {
+                let Some(plan) = &self.plan else { return true };
+                // The first stage/stages of the nodes, beginning at another place for each server, so that the same
+                // front nodes are not first at all of them.
+                let all = plan.nodes.len() as u64;
+                let open = (all * u64::from(stage)).div_ceil(u64::from(plan.ramp_stages.max(1)));
+                let from = server.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b)));
+                let at = plan.nodes.keys().position(|n| *n == node).unwrap_or(0) as u64;
+                (at + from % all.max(1)) % all.max(1) < open
+            }
+        }
+    }
+
+    pub(crate) fn observed(&mut self, server: &str, zone: &str, up: bool) -> Outcome {
+        if let Some(state) = self.servers.get_mut(server) {
+            let same = state.up == up && state.zone == zone;
+            state.up = up;
+            state.zone = zone.to_owned();
+            return if same { Outcome::Already } else { Outcome::Done };
+        }
+        if !crate::state::fits(server) || self.servers.len() >= MAX_SERVERS {
+            return Outcome::Refused(Refusal::BadName);
+        }
+        let state = ServerState {
+            zone: zone.to_owned(),
+            up,
+            phase: Phase::Serving,
+            change: 0,
+            told: BTreeSet::new(),
+        };
+        self.servers.insert(server.to_owned(), state);
+        Outcome::Done
+    }
+
+    pub(crate) fn drain(&mut self, index: u64, server: &str) -> Outcome {
+        let Some(plan) = &self.plan else { return Outcome::Refused(Refusal::NoPlan) };
+        if self.halted.is_some() {
+            return Outcome::Refused(Refusal::Halted);
+        }
+        let Some(state) = self.servers.get(server) else { return Outcome::Refused(Refusal::Unknown) };
+        match state.phase {
+            Phase::Draining | Phase::Drained => return Outcome::Already,
+            Phase::Serving | Phase::Ramping(_) => {}
+        }
+        let away = self.servers.iter().filter(|(name, s)| *name != server && s.away());
+        let zones = away.map(|(_, s)| Some(s.zone.as_str()));
+        if let Err(over) = plan.server_budget.admits(self.servers.len(), Some(&state.zone), zones) {
+            return Outcome::Refused(Refusal::Budget(over));
+        }
+        if let Some(state) = self.servers.get_mut(server) {
+            state.moved(Phase::Draining, index);
+        }
+        self.all_told();
+        Outcome::Done
+    }
+
+    pub(crate) fn bring_back(&mut self, index: u64, server: &str) -> Outcome {
+        let Some(state) = self.servers.get_mut(server) else {
+            return Outcome::Refused(Refusal::Unknown);
+        };
+        match state.phase {
+            Phase::Draining | Phase::Drained => {
+                state.moved(Phase::Ramping(1), index);
+                Outcome::Done
+            }
+            Phase::Serving | Phase::Ramping(_) => Outcome::Already,
+        }
+    }
+
+    pub(crate) fn told(&mut self, node: MemberId, server: &str, change: u64) -> Outcome {
+        if !self.nodes.contains_key(&node) {
+            return Outcome::Refused(Refusal::Unknown);
+        }
+        match self.servers.get_mut(server) {
+            Some(state) if state.change == change => {
+                let new = state.told.insert(node);
+                self.all_told();
+                if new {
+                    Outcome::Done
+                } else {
+                    Outcome::Already
+                }
+            }
+            Some(_) => Outcome::Refused(Refusal::Old),
+            None => Outcome::Refused(Refusal::Unknown),
+        }
+    }
+
+    /// Drains that every front node knows are done. A member that is not heard may have a front node that still
+    /// sends: the drain waits for it, until it is back and has been told.
+    pub(crate) fn all_told(&mut self) {
+        let Some(plan) = &self.plan else { return };
+        for state in self.servers.values_mut() {
+            if state.phase == Phase::Draining && plan.nodes.keys().all(|n| state.told.contains(n)) {
+                state.phase = Phase::Drained;
+            }
+        }
+    }
+
+    pub(crate) fn ramp(&mut self, index: u64, server: &str, change: u64) -> Outcome {
+        let Some(plan) = &self.plan else { return Outcome::Refused(Refusal::NoPlan) };
+        if self.halted.is_some() {
+            return Outcome::Refused(Refusal::Halted);
+        }
+        let stages = plan.ramp_stages;
+        match self.servers.get_mut(server) {
+            Some(state) if state.change == change => {
+                let Phase::Ramping(stage) = state.phase else { return Outcome::Refused(Refusal::NotDue) };
+                if !state.up {
+                    return Outcome::Refused(Refusal::NotDue);
+                }
+                let next = if stage >= stages { Phase::Serving } else { Phase::Ramping(stage + 1) };
+                state.moved(next, index);
+                Outcome::Done
+            }
+            Some(_) => Outcome::Refused(Refusal::Old),
+            None => Outcome::Refused(Refusal::Unknown),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/words.rs
@@ -0,0 +1,284 @@
+//! Commands one by one: what operators may ask, what they are told, and index servers drained and brought back.
+
+use pinetrestle_fleet::{MemberId, Token};
+use pinetrestle_rollout::{
+    Act, Agent, Budget, Command, Conductor, NodePlan, Outcome, Phase, Plan, Refusal, Rollout, Seen, Stage,
+    Step, Watcher,
+};
+
+const LEASE: Option<Token> = Some(Token(9));
+
+struct Fleet {
+    state: Rollout,
+    index: u64,
+}
+
+fn plan(revision: u64) -> Plan {
+    Plan {
+        revision,
+        nodes: (1..=4).map(|n| (MemberId(n), NodePlan { zone: None })).collect(),
+        node_budget: Budget { most: 2, share_per_mille: 500, zone_most: None },
+        server_budget: Budget { most: 2, share_per_mille: 400, zone_most: Some(1) },
+        canary: 1,
+        failures: 1,
+        failed_per_mille: 10,
+        step_ms: 1_000,
+        settle_ms: 100,
+        lost_ms: 500,
+        ramp_stages: 2,
+        ramp_ms: 300,
+    }
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let mut fleet = Fleet { state: Rollout::new(), index: 0 };
+        assert_eq!(fleet.says(Command::Configure(plan(1))), Outcome::Done);
+        for n in 1..=4 {
+            assert_eq!(fleet.report(n, 1, "v1"), Outcome::Done);
+        }
+        for (name, zone) in [("s0", "a"), ("s1", "a"), ("s2", "b"), ("s3", "b"), ("s4", "c")] {
+            let (server, zone) = (name.to_owned(), zone.to_owned());
+            assert_eq!(fleet.says(Command::Observed { server, zone, up: true }), Outcome::Done);
+        }
+        fleet
+    }
+
+    fn says(&mut self, command: Command) -> Outcome {
+        self.index += 1;
+        self.state.apply(self.index, &command, LEASE)
+    }
+
+    fn report(&mut self, node: u64, seq: u64, version: &str) -> Outcome {
+        self.says(Command::Report { node: MemberId(node), seq, version: version.into(), ready: true })
+    }
+
+    fn release(&mut self, id: &str, to: &str) -> Outcome {
+        self.says(Command::Release { id: id.into(), to: to.into() })
+    }
+
+    fn halt(&mut self, id: &str) -> Outcome {
+        self.says(Command::Halt { id: id.into(), why: "looks wrong".into() })
+    }
+
+    fn take(&mut self, node: u64) -> Outcome {
+        self.says(Command::Take { token: Token(9), node: MemberId(node) })
+    }
+
+    fn slot(&self, node: u64) -> u64 {
+        self.state.node(MemberId(node)).unwrap().slot.as_ref().unwrap().index
+    }
+
+    fn step_through(&mut self, node: u64) {
+        assert_eq!(self.take(node), Outcome::Done);
+        let (node, slot) = (MemberId(node), self.slot(node));
+        assert_eq!(self.says(Command::Begin { node, slot }), Outcome::Done);
+        assert_eq!(self.says(Command::Finished { node, slot, health: Default::default() }), Outcome::Done);
+    }
+
+    fn drain(&mut self, id: &str, server: &str) -> Outcome {
+        self.says(Command::Drain { id: id.into(), server: server.into() })
+    }
+
+    fn phase(&self, server: &str) -> Phase {
+        self.state.servers().find(|(name, _)| *name == server).unwrap().1.phase
+    }
+
+    fn change(&self, server: &str) -> u64 {
+        self.state.servers().find(|(name, _)| *name == server).unwrap().1.change
+    }
+}
+
+#[test]
+fn a_command_sent_again_is_answered_as_the_first_time_and_does_nothing_more() {
+    let mut fleet = Fleet::new();
+    assert_eq!(fleet.halt("h"), Outcome::Done);
+    assert_eq!(fleet.says(Command::Resume { id: "r".into() }), Outcome::Done);
+    assert_eq!(fleet.halt("h"), Outcome::Done, "the answer of the first time");
+    assert!(fleet.state.halted().is_none(), "and no second halt");
+}
+
+#[test]
+fn a_second_release_is_refused_with_the_one_that_runs() {
+    let mut fleet = Fleet::new();
+    assert_eq!(fleet.release("a", "v2"), Outcome::Done);
+    let refused = fleet.release("b", "v3");
+    assert_eq!(refused, Outcome::Refused(Refusal::ReleaseRuns { id: "a".into() }));
+}
+
+#[test]
+fn the_canary_goes_alone_and_the_others_follow_within_the_budget() {
+    let mut fleet = Fleet::new();
+    fleet.release("a", "v2");
+    assert_eq!(fleet.take(2), Outcome::Done);
+    assert_eq!(fleet.take(3), Outcome::Refused(Refusal::Canary));
+    let slot = fleet.slot(2);
+    fleet.says(Command::Begin { node: MemberId(2), slot });
+    fleet.says(Command::Finished { node: MemberId(2), slot, health: Default::default() });
+    assert_eq!(fleet.take(1), Outcome::Done);
+    assert_eq!(fleet.take(3), Outcome::Done);
+    assert!(matches!(fleet.take(4), Outcome::Refused(Refusal::Budget(_))));
+}
+
+#[test]
+fn a_member_that_is_not_heard_takes_a_place_until_it_is_back() {
+    let mut fleet = Fleet::new();
+    fleet.release("a", "v2");
+    fleet.step_through(1);
+    assert_eq!(fleet.says(Command::Lost { node: MemberId(4), seq: 1 }), Outcome::Done);
+    assert_eq!(fleet.take(2), Outcome::Done);
+    assert!(matches!(fleet.take(3), Outcome::Refused(Refusal::Budget(_))));
+    assert_eq!(fleet.take(4), Outcome::Refused(Refusal::Unheard));
+    assert_eq!(fleet.report(4, 2, "v1"), Outcome::Done);
+    assert_eq!(fleet.says(Command::Lost { node: MemberId(4), seq: 1 }), Outcome::Refused(Refusal::Old));
+    assert_eq!(fleet.take(3), Outcome::Done);
+}
+
+#[test]
+fn an_unsound_front_node_halts_the_release_and_the_way_back_ends_on_the_old_version() {
+    let mut fleet = Fleet::new();
+    fleet.release("a", "v2");
+    assert_eq!(fleet.take(1), Outcome::Done);
+    let (node, slot) = (MemberId(1), fleet.slot(1));
+    fleet.says(Command::Begin { node, slot });
+    let health = pinetrestle_rollout::Health { answered: 90, failed: 10, defects: 0 };
+    fleet.says(Command::Finished { node, slot, health });
+    assert!(matches!(fleet.state.release().unwrap().steps[&node], Step::Failed(_)));
+    assert_eq!(fleet.state.halted().unwrap().id, "failures", "the canary failed: nobody else may go");
+    assert_eq!(fleet.take(2), Outcome::Refused(Refusal::Halted));
+    fleet.report(1, 2, "v2");
+    assert_eq!(fleet.says(Command::Rollback { id: "back".into() }), Outcome::Done);
+    assert_eq!(fleet.take(2), Outcome::Refused(Refusal::NotDue), "it never left the old version");
+    fleet.step_through(1);
+    assert_eq!(fleet.state.release().unwrap().stage, Stage::RolledBack);
+    assert_eq!(fleet.state.good(), "v1");
+}
+
+#[test]
+fn a_halt_gives_back_what_nobody_began_and_keeps_what_runs() {
+    let mut fleet = Fleet::new();
+    fleet.release("a", "v2");
+    fleet.step_through(1);
+    fleet.take(2);
+    fleet.take(3);
+    let (begun, not) = (fleet.slot(2), fleet.slot(3));
+    fleet.says(Command::Begin { node: MemberId(2), slot: begun });
+    fleet.halt("h");
+    assert_eq!(fleet.says(Command::Begin { node: MemberId(3), slot: not }), Outcome::Refused(Refusal::Old));
+    assert!(fleet.state.away(MemberId(2)) && !fleet.state.away(MemberId(3)));
+    assert_eq!(fleet.drain("d", "s0"), Outcome::Refused(Refusal::Halted));
+    fleet.says(Command::Resume { id: "r".into() });
+    assert_eq!(fleet.take(3), Outcome::Done);
+}
+
+#[test]
+fn an_older_plan_changes_nothing_and_a_newer_one_does() {
+    let mut fleet = Fleet::new();
+    assert_eq!(fleet.says(Command::Configure(plan(1))), Outcome::Already);
+    let mut next = plan(2);
+    next.nodes.insert(MemberId(5), NodePlan { zone: None });
+    assert_eq!(fleet.says(Command::Configure(next)), Outcome::Done);
+    assert!(fleet.state.away(MemberId(5)), "one that has not reported is away");
+}
+
+#[test]
+fn index_servers_are_drained_within_the_budget_of_all_and_of_their_zone() {
+    let mut fleet = Fleet::new();
+    assert_eq!(fleet.drain("1", "s0"), Outcome::Done);
+    assert!(matches!(fleet.drain("2", "s1"), Outcome::Refused(Refusal::Budget(over)) if over.zone.is_some()));
+    assert_eq!(fleet.drain("3", "s2"), Outcome::Done);
+    assert!(matches!(fleet.drain("4", "s4"), Outcome::Refused(Refusal::Budget(_))));
+    assert_eq!(fleet.drain("5", "nobody"), Outcome::Refused(Refusal::Unknown));
+    // One that is out by itself takes a place too.
+    let mut fleet = Fleet::new();
+    fleet.says(Command::Observed { server: "s4".into(), zone: "c".into(), up: false });
+    assert_eq!(fleet.drain("1", "s0"), Outcome::Done);
+    assert!(matches!(fleet.drain("2", "s2"), Outcome::Refused(Refusal::Budget(_))));
+}
+
+#[test]
+fn a_drain_is_done_when_every_front_node_has_been_told_and_no_sooner() {
+    let mut fleet = Fleet::new();
+    fleet.drain("1", "s0");
+    let change = fleet.change("s0");
+    for n in 1..=4 {
+        assert_eq!(fleet.phase("s0"), Phase::Draining);
+        assert!(!fleet.state.open_to(MemberId(n), "s0"));
+        fleet.says(Command::Told { node: MemberId(n), server: "s0".into(), change });
+    }
+    assert_eq!(fleet.phase("s0"), Phase::Drained);
+    let old = fleet.says(Command::Told { node: MemberId(1), server: "s0".into(), change: change - 1 });
+    assert_eq!(old, Outcome::Refused(Refusal::Old));
+}
+
+#[test]
+fn a_returning_index_server_is_opened_to_the_front_nodes_in_stages() {
+    let mut fleet = Fleet::new();
+    fleet.drain("1", "s0");
+    fleet.says(Command::Return { id: "2".into(), server: "s0".into() });
+    let open = |fleet: &Fleet| (1..=4).filter(|n| fleet.state.open_to(MemberId(*n), "s0")).count();
+    assert_eq!((fleet.phase("s0"), open(&fleet)), (Phase::Ramping(1), 2));
+    assert!(matches!(fleet.drain("3", "s1"), Outcome::Refused(Refusal::Budget(_))), "it still takes a place");
+    let mut conductor = Conductor::new();
+    let mut opened = Vec::new();
+    for now in (0..1_500).step_by(50) {
+        for command in conductor.poll(now, Token(9), &fleet.state) {
+            assert_eq!(fleet.says(command), Outcome::Done);
+        }
+        if opened.last().is_none_or(|(_, o)| *o != open(&fleet)) {
+            opened.push((now, open(&fleet)));
+        }
+    }
+    assert_eq!(opened, [(0, 2), (300, 4)]);
+    assert_eq!(fleet.phase("s0"), Phase::Serving);
+}
+
+#[test]
+fn a_leader_calls_lost_only_whom_it_has_not_heard_since_it_leads() {
+    let fleet = Fleet::new();
+    let mut watcher = Watcher::elected(1_000, &fleet.state);
+    assert!(watcher.due(1_400, MemberId(1), &fleet.state).is_empty());
+    for n in [2, 3] {
+        watcher.heard(1_450, MemberId(n));
+    }
+    let lost = watcher.due(1_600, MemberId(1), &fleet.state);
+    assert_eq!(lost, [Command::Lost { node: MemberId(4), seq: 1 }]);
+    assert!(watcher.due(1_610, MemberId(1), &fleet.state).is_empty(), "asked just now");
+}
+
+#[test]
+fn a_late_word_on_a_slot_given_back_ends_no_later_slot() {
+    let mut fleet = Fleet::new();
+    fleet.release("a", "v2");
+    fleet.take(1);
+    let (node, old) = (MemberId(1), fleet.slot(1));
+    fleet.says(Command::Overdue { token: Token(9), node, slot: old });
+    assert_eq!(fleet.take(1), Outcome::Done);
+    let late = Command::Finished { node, slot: old, health: Default::default() };
+    assert_eq!(fleet.says(late), Outcome::Refused(Refusal::Old));
+    assert!(fleet.slot(1) > old);
+}
+
+#[test]
+fn an_agent_that_said_its_goal_serves_never_goes_back_from_it() {
+    let mut fleet = Fleet::new();
+    fleet.release("a", "v2");
+    fleet.take(1);
+    let (node, slot) = (MemberId(1), fleet.slot(1));
+    fleet.says(Command::Begin { node, slot });
+    let versions = ["v1", "v2"].map(String::from).into();
+    let mut agent = Agent::new(node, versions, "v1".into(), 10, 1_000, 1_000);
+    let seen = |running: Option<&str>| Seen {
+        running: running.map(String::from),
+        ready: running.is_some(),
+        ..Seen::default()
+    };
+    assert_eq!(agent.poll(0, &seen(Some("v1")), &fleet.state).1, Some(Act::Stop));
+    assert_eq!(agent.poll(10, &seen(None), &fleet.state).1, Some(Act::Start("v2".into())));
+    agent.poll(700, &seen(Some("v2")), &fleet.state);
+    let (said, _) = agent.poll(900, &seen(Some("v2")), &fleet.state);
+    assert!(said.iter().any(|c| matches!(c, Command::Finished { .. })), "{said:?}");
+    // It ends before the word is known to be in the log: the word may be in, so the goal it is.
+    let (_, act) = agent.poll(910, &seen(None), &fleet.state);
+    assert_eq!(act, Some(Act::Start("v2".into())));
+}
