Members carry out drains and releases: front nodes as processes, a relay of the list, commands

Cause: the decisions of crates/rollout need processes that carry them out.

Change: the log holds leases and drains and releases in one state (its format changes; no fleet has run in service). A member starts, ends and finds again its own front node by a mark in its environment, asks it for its health and counters, tells it discovery's list with the fleet's drains over it through a relay (hyper), and takes release, halt, resume, rollback, drain and return from the fleet command, each under an id that makes it safe to send again.

--- a/crates/member/src/cli.rs
+++ b/crates/member/src/cli.rs
@@ -8,6 +8,7 @@
 use crate::net;
 use crate::wire::{Ask, Reply};
 use clap::{Args, Parser, Subcommand};
+use pinetrestle_rollout::{Command, Outcome};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -49,6 +50,45 @@
     /// Lets a member ask for a task, or give it back.
     #[command(subcommand)]
     Lease(Lease),
+    /// Rolls the fleet to VERSION, canary first, within the budget.
+    Release {
+        /// The version, as each member's file names it.
+        version: String,
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Stops all new steps at once, fleet-wide, until resume or rollback.
+    Halt {
+        /// Why, shown by status.
+        #[arg(long, default_value = "asked by an operator")]
+        why: String,
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Goes on after a halt; failed steps are tried again.
+    Resume {
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Rolls back to the last good version, the same way; ends a halt.
+    Rollback {
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Takes an index server out for all front nodes, if the budget has a place.
+    Drain {
+        /// Its name in discovery.
+        server: String,
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Brings a drained index server back, by the ramp the fleet shares.
+    Return {
+        /// Its name in discovery.
+        server: String,
+        #[command(flatten)]
+        order: Order,
+    },
     /// Runs a stand-in task sink that takes actions only through the fence and records each.
     Sink {
         /// Address to listen on.
@@ -78,6 +118,17 @@
     },
 }
 
+/// A command on drains and releases: it may go to any member.
+#[derive(Debug, Args)]
+struct Order {
+    /// The command's id: sent again with the same id it does nothing more and is answered as before. A new one by
+    /// default.
+    #[arg(long)]
+    id: Option<String>,
+    #[command(flatten)]
+    target: Target,
+}
+
 /// Which member a command goes to.
 #[derive(Debug, Args)]
 struct Target {
@@ -91,7 +142,7 @@
     #[arg(long)]
     json: bool,
     /// Seconds to wait for an answer.
-    #[arg(long, default_value_t = 3)]
+    #[arg(long, default_value_t = 12)]
     wait: u64,
 }
 
@@ -138,6 +189,12 @@
         Fleet::Lease(Lease::Release { task, target }) => {
             command(&target, Ask::Want { task, want: false }, None).await
         }
+        Fleet::Release { version, order } => ordered(order, |id| Command::Release { id, to: version }).await,
+        Fleet::Halt { why, order } => ordered(order, |id| Command::Halt { id, why }).await,
+        Fleet::Resume { order } => ordered(order, |id| Command::Resume { id }).await,
+        Fleet::Rollback { order } => ordered(order, |id| Command::Rollback { id }).await,
+        Fleet::Drain { server, order } => ordered(order, |id| Command::Drain { id, server }).await,
+        Fleet::Return { server, order } => ordered(order, |id| Command::Return { id, server }).await,
         Fleet::Sink { listen, record } => {
             let out: Box<dyn std::io::Write> = match record {
                 Some(path) => match std::fs::File::create(&path) {
@@ -169,6 +226,13 @@
         .filter(|p| p.id != file.id)
         .filter_map(|p| Some((p.id, file.dial_of(p.id)?)))
         .collect();
+    let beside = match net::Beside::start(&file, &log).await {
+        Ok(beside) => beside,
+        Err(error) => {
+            slog::error!(log, "member could not start"; "error" => %error);
+            return ExitCode::from(1);
+        }
+    };
     let (sink, tick) = (file.sink, Duration::from_millis(file.tick_ms));
     let member = match Member::open(file, log.clone()) {
         Ok(member) => member,
@@ -177,7 +241,7 @@
             return ExitCode::from(1);
         }
     };
-    match net::run(member, listen, peers, sink, tick, log.clone()).await {
+    match net::run(member, listen, peers, sink, tick, beside, log.clone()).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             slog::error!(log, "member stopped"; "error" => %error);
@@ -186,6 +250,12 @@
     }
 }
 
+/// Sends a command on drains and releases under its id, a new one unless it was given.
+async fn ordered(order: Order, make: impl FnOnce(String) -> Command) -> ExitCode {
+    let id = order.id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
+    command(&order.target, Ask::Rollout(make(id)), None).await
+}
+
 async fn command(target: &Target, ask: Ask, explain: Option<()>) -> ExitCode {
     let addr = match (target.at, &target.config) {
         (Some(addr), _) => addr,
@@ -226,6 +296,19 @@
             }
             ExitCode::SUCCESS
         }
+        Reply::Decided(Outcome::Refused(refusal)) => {
+            eprintln!("pinetrestle: refused: {refusal}");
+            ExitCode::from(3)
+        }
+        Reply::Decided(outcome) => {
+            let already = outcome == Outcome::Already;
+            if target.json {
+                println!("{{\"done\":true,\"already\":{already}}}");
+            } else {
+                println!("{}", if already { "it is so already" } else { "done" });
+            }
+            ExitCode::SUCCESS
+        }
         Reply::Refused(why) => {
             eprintln!("pinetrestle: refused: {why}");
             ExitCode::from(3)
--- a/crates/member/src/config.rs
+++ b/crates/member/src/config.rs
@@ -1,8 +1,10 @@
 //! The fleet's operator file: who the members are, where each keeps its data, the times of Raft and leases.
 
-use pinetrestle_fleet::{Task, MAX_MEMBERS, MAX_TASKS, MAX_TASK_NAME, TTL_MS};
+use pinetrestle_fleet::{MemberId, Task, MAX_MEMBERS, MAX_TASKS, MAX_TASK_NAME, TTL_MS};
 use pinetrestle_operator::{Checked, Wrong};
+use pinetrestle_rollout::{Budget, NodePlan, Plan, MAX_NAME};
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -14,6 +16,126 @@
     pub id: u64,
     /// The address it listens on for peers and commands.
     pub addr: SocketAddr,
+    /// Its zone, for budgets by zone.
+    #[serde(default)]
+    pub zone: Option<String>,
+}
+
+/// What may be away at once, as the file says it.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BudgetFile {
+    /// Units away at once.
+    pub most: u32,
+    /// Units away at once, as a share of all, 0 to 1; one may always go.
+    #[serde(default = "defaults::share")]
+    pub share: f64,
+    /// Units away at once in one zone; none: no bound by zone.
+    #[serde(default)]
+    pub zone_most: Option<u32>,
+}
+
+impl BudgetFile {
+    fn budget(&self) -> Budget {
+        Budget { most: self.most, share_per_mille: (self.share * 1_000.0) as u32, zone_most: self.zone_most }
+    }
+
+    fn check(&self, key: &str) -> Result<(), Wrong> {
+        if self.most == 0 {
+            return Err(Wrong::new(format!("{key}.most"), "is 0: nothing could ever go", "write at least 1"));
+        }
+        if !(0.0..=1.0).contains(&self.share) {
+            return Err(Wrong::new(format!("{key}.share"), "is outside 0 to 1", "write a share, as 0.2"));
+        }
+        if self.zone_most == Some(0) {
+            return Err(Wrong::new(format!("{key}.zone_most"), "is 0", "write at least 1, or leave it out"));
+        }
+        Ok(())
+    }
+}
+
+/// Drains and releases, the same in every member's file; the highest `revision` holds for the fleet.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutFile {
+    /// Grows with each change of this part or of `peers`.
+    pub revision: u64,
+    /// Front nodes that may be away at once.
+    pub nodes: BudgetFile,
+    /// Index servers that may be away at once.
+    pub servers: BudgetFile,
+    /// Front nodes that go first, alone.
+    #[serde(default = "defaults::canary")]
+    pub canary: u32,
+    /// Steps that may fail before a release halts itself.
+    #[serde(default = "defaults::failures")]
+    pub failures: u32,
+    /// Share of failed queries a front node may show after its step, 0 to 1.
+    #[serde(default = "defaults::failed_share")]
+    pub failed_share: f64,
+    /// Milliseconds a step may take.
+    #[serde(default = "defaults::step_ms")]
+    pub step_ms: u64,
+    /// Milliseconds a front node serves after its step before it is judged.
+    #[serde(default = "defaults::settle_ms")]
+    pub settle_ms: u64,
+    /// Milliseconds without a word after which a member counts as lost.
+    #[serde(default = "defaults::lost_ms")]
+    pub lost_ms: u64,
+    /// Stages in which front nodes send to a returning index server.
+    #[serde(default = "defaults::ramp_stages")]
+    pub ramp_stages: u32,
+    /// Milliseconds of one such stage.
+    #[serde(default = "defaults::ramp_ms")]
+    pub ramp_ms: u64,
+}
+
+/// How to start one version of the front node.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LaunchFile {
+    /// The program.
+    pub program: PathBuf,
+    /// Its arguments.
+    #[serde(default)]
+    pub args: Vec<String>,
+    /// Variables added to its environment, as `RELAY_CONFIG`.
+    #[serde(default)]
+    pub env: BTreeMap<String, String>,
+}
+
+/// The list of index servers as this member's front node is told it: discovery's, and the fleet's drains over it.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelayFile {
+    /// Where this member tells its front node; `discovery` in the front node's file.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub upstream: SocketAddr,
+}
+
+/// This member's own front node.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FrontFile {
+    /// Where it listens, to ask it for its health and counters.
+    pub listen: SocketAddr,
+    /// The version to start where neither a process nor the fleet says which.
+    pub version: String,
+    /// How to start each version.
+    pub versions: BTreeMap<String, LaunchFile>,
+    /// Milliseconds it may take to end in order; then it is killed.
+    #[serde(default = "defaults::stop_ms")]
+    pub stop_ms: u64,
+    /// Milliseconds it may take to be ready.
+    #[serde(default = "defaults::start_ms")]
+    pub start_ms: u64,
+    /// Milliseconds between two looks at it.
+    #[serde(default = "defaults::look_ms")]
+    pub look_ms: u64,
+    /// Tells it the list with the fleet's drains; none: the fleet drains no index servers for it.
+    #[serde(default)]
+    pub relay: Option<RelayFile>,
 }
 
 /// The whole file, for one member (`id`) of the fleet (`peers`).
@@ -53,9 +175,51 @@
     /// Applied entries after which a snapshot is taken and the log cut.
     #[serde(default = "defaults::snapshot_every")]
     pub snapshot_every: u64,
+    /// Drains and releases; none: this member takes part in leases only.
+    #[serde(default)]
+    pub rollout: Option<RolloutFile>,
+    /// This member's own front node; none: it runs none.
+    #[serde(default)]
+    pub front: Option<FrontFile>,
 }
 
 mod defaults {
+    pub fn share() -> f64 {
+        1.0
+    }
+    pub fn canary() -> u32 {
+        1
+    }
+    pub fn failures() -> u32 {
+        1
+    }
+    pub fn failed_share() -> f64 {
+        0.01
+    }
+    pub fn step_ms() -> u64 {
+        60_000
+    }
+    pub fn settle_ms() -> u64 {
+        5_000
+    }
+    pub fn lost_ms() -> u64 {
+        5_000
+    }
+    pub fn ramp_stages() -> u32 {
+        4
+    }
+    pub fn ramp_ms() -> u64 {
+        5_000
+    }
+    pub fn stop_ms() -> u64 {
+        10_000
+    }
+    pub fn start_ms() -> u64 {
+        30_000
+    }
+    pub fn look_ms() -> u64 {
+        100
+    }
     pub fn tick_ms() -> u64 {
         50
     }
@@ -91,6 +255,93 @@
     pub fn election_ms(&self) -> u64 {
         self.tick_ms * self.election_ticks as u64
     }
+
+    /// The plan this file would have the fleet agree on, if it has one.
+    pub fn plan(&self) -> Option<Plan> {
+        let file = self.rollout.as_ref()?;
+        Some(Plan {
+            revision: file.revision,
+            nodes: self.peers.iter().map(|p| (MemberId(p.id), NodePlan { zone: p.zone.clone() })).collect(),
+            node_budget: file.nodes.budget(),
+            server_budget: file.servers.budget(),
+            canary: file.canary,
+            failures: file.failures,
+            failed_per_mille: (file.failed_share * 1_000.0) as u32,
+            step_ms: file.step_ms,
+            settle_ms: file.settle_ms,
+            lost_ms: file.lost_ms,
+            ramp_stages: file.ramp_stages,
+            ramp_ms: file.ramp_ms,
+        })
+    }
+
+    fn check_rollout(&self) -> Result<(), Wrong> {
+        let Some(file) = &self.rollout else {
+            return match &self.front {
+                None => Ok(()),
+                Some(_) => {
+                    Err(Wrong::new("front", "stands without rollout", "say what may be away under rollout"))
+                }
+            };
+        };
+        file.nodes.check("rollout.nodes")?;
+        file.servers.check("rollout.servers")?;
+        if !(0.0..=1.0).contains(&file.failed_share) {
+            return Err(Wrong::new("rollout.failed_share", "is outside 0 to 1", "write a share, as 0.01"));
+        }
+        if file.canary as usize > self.peers.len() {
+            return Err(Wrong::new("rollout.canary", "is more than there are peers", "write 1"));
+        }
+        if !(1..=16).contains(&file.ramp_stages) {
+            return Err(Wrong::new("rollout.ramp_stages", "is outside 1 to 16", "write 4"));
+        }
+        if file.lost_ms < 2 * self.election_ms() {
+            return Err(Wrong::new(
+                "rollout.lost_ms",
+                "is under two election times: a change of leader would call members lost",
+                format!("write at least {}", 2 * self.election_ms()),
+            ));
+        }
+        if file.step_ms <= file.settle_ms {
+            return Err(Wrong::new(
+                "rollout.step_ms",
+                "is not over settle_ms, which each step takes",
+                format!("write at least {}", 4 * file.settle_ms.max(1_000)),
+            ));
+        }
+        if let Some(front) = &self.front {
+            front.check()?;
+        }
+        Ok(())
+    }
+}
+
+impl FrontFile {
+    fn check(&self) -> Result<(), Wrong> {
+        let bad_name = |name: &str| name.is_empty() || name.len() > MAX_NAME;
+        if let Some(name) = self.versions.keys().find(|n| bad_name(n)) {
+            return Err(Wrong::new(
+                format!("front.versions.{name}"),
+                "has an empty or too long name",
+                format!("use 1 to {MAX_NAME} bytes"),
+            ));
+        }
+        if !self.versions.contains_key(&self.version) {
+            return Err(Wrong::new(
+                "front.version",
+                format!("{:?} is not among front.versions", self.version),
+                "name one of them, or add it there",
+            ));
+        }
+        if !(20..=10_000).contains(&self.look_ms) {
+            return Err(Wrong::new("front.look_ms", "is outside 20 to 10000", "write 100"));
+        }
+        if self.start_ms < 1_000 || self.stop_ms < 1_000 {
+            let key = if self.start_ms < 1_000 { "front.start_ms" } else { "front.stop_ms" };
+            return Err(Wrong::new(key, "is under 1000", "write 10000"));
+        }
+        Ok(())
+    }
 }
 
 impl Checked for FleetFile {
@@ -161,6 +412,6 @@
         if !(10..=1_000_000).contains(&self.snapshot_every) {
             return Err(Wrong::new("snapshot_every", "is outside 10 to 1000000", "write 1000"));
         }
-        Ok(())
+        self.check_rollout()
     }
 }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -10,10 +10,14 @@
 
 pub mod cli;
 pub mod config;
+pub mod front;
 pub mod logging;
 pub mod member;
 pub mod net;
 pub mod raftstore;
+pub mod relay;
+pub mod replica;
+pub mod rollout;
 pub mod show;
 pub mod sink;
 pub mod wire;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -4,10 +4,11 @@
 
 use crate::config::FleetFile;
 use crate::raftstore::Durable;
-use crate::wire::{self, Action, LeaseView, MineView, Status};
-use pinetrestle_fleet::{
-    Command, Expiry, Holder, HolderState, LeaseTable, MemberId, Outcome, RequestId, Task, Token,
-};
+use crate::replica::{Decided, Entry as Logged, Replica};
+use crate::rollout::{reason, Part};
+use crate::wire::{self, Action, LeaseView, MineView, Reply, Status};
+use pinetrestle_fleet::{Command, Expiry, Holder, HolderState, MemberId, Outcome, RequestId, Task, Token};
+use pinetrestle_rollout::{Act, RELEASE_TASK};
 use protobuf::Message as _;
 use raft::eraftpb::{Entry, EntryType, Message};
 use raft::{Config, RawNode, StateRole};
@@ -15,6 +16,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::time::Instant;
+use tokio::sync::oneshot;
 
 /// What the member asks its drivers to carry out after a step.
 #[derive(Debug, Default)]
@@ -23,6 +25,10 @@
     pub messages: Vec<(u64, Vec<u8>)>,
     /// Actions under a lease, for the task sink.
     pub actions: Vec<Action>,
+    /// What to do with the front node.
+    pub act: Option<Act>,
+    /// What the fleet has decided on index servers, where that may have changed.
+    pub view: Option<crate::relay::View>,
 }
 
 /// One member of the fleet.
@@ -31,7 +37,11 @@
     config: FleetFile,
     log: Logger,
     raw: RawNode<Durable>,
-    table: LeaseTable,
+    replica: Replica,
+    /// This member's part in drains and releases.
+    pub part: Part,
+    /// The rollout state's index when its view was last handed out.
+    viewed: u64,
     expiry: Expiry,
     holders: BTreeMap<Task, Holder>,
     /// The token under which this member last acted on each task, to log when that starts and ends.
@@ -57,10 +67,10 @@
         let store = Durable::open(&config.data_dir, &voters)?;
         let boot = store.boot();
         let (applied, data) = store.snapshot_data();
-        let table = if data.is_empty() {
-            LeaseTable::new()
+        let replica: Replica = if data.is_empty() {
+            Replica::default()
         } else {
-            wire::decode(data).ok_or_else(|| failed("the snapshot's lease table does not decode"))?
+            wire::decode(data).ok_or_else(|| failed("the snapshot's state does not decode"))?
         };
         let raft_config = Config {
             id: config.id,
@@ -77,9 +87,13 @@
         let raw = RawNode::new(&raft_config, store, &log).map_err(failed)?;
         // Request ids of this start lie above every id of the starts before it.
         let base = Some(RequestId(boot << 32));
-        let holders = config
+        let part = Part::new(&config, boot);
+        // Every member that takes part in releases is ready to conduct them.
+        let conducts = part.takes_part().then(|| RELEASE_TASK.to_owned());
+        let holders: BTreeMap<Task, Holder> = config
             .tasks
             .iter()
+            .chain(conducts.iter())
             .map(|t| {
                 let mut holder = Holder::new(Task(t.clone()), MemberId(config.id), config.lease_ms, base);
                 holder.want(true);
@@ -92,7 +106,9 @@
             config,
             log,
             raw,
-            table,
+            replica,
+            part,
+            viewed: u64::MAX,
             expiry: Expiry::new(),
             holders,
             acting: BTreeMap::new(),
@@ -117,6 +133,8 @@
     pub fn receive(&mut self, bytes: &[u8]) {
         match Message::parse_from_bytes(bytes) {
             Ok(message) => {
+                let now = self.now_ms();
+                self.part.heard(now, message.from);
                 if let Err(error) = self.raw.step(message) {
                     warn!(self.log, "message not taken"; "error" => %error);
                 }
@@ -134,14 +152,34 @@
             if let Command::Expire { task, token, .. } = &command {
                 info!(self.log, "lease unrenewed, end proposed"; "task" => &task.0, "token" => token.0);
             }
-            self.propose(&command);
+            self.propose(&Logged::Lease(command));
         }
         let commands: Vec<Command> = self.holders.values_mut().filter_map(|h| h.poll(now)).collect();
-        for command in &commands {
-            self.propose(command);
+        for command in commands {
+            self.propose(&Logged::Lease(command));
         }
         self.act(now, out);
-        self.ready(out)
+        if self.part.takes_part() {
+            let token = self.holders.get_mut(&Task(RELEASE_TASK.to_owned())).and_then(|h| h.may_act(now));
+            let (commands, act) = self.part.tick(now, &self.replica, token);
+            for command in commands {
+                self.propose(&Logged::Rollout(command));
+            }
+            out.act = act;
+        }
+        self.ready(out)?;
+        if self.part.takes_part() && self.viewed != self.replica.rollout.applied() {
+            self.viewed = self.replica.rollout.applied();
+            out.view = Some(self.part.view(&self.replica.rollout));
+        }
+        Ok(())
+    }
+
+    /// Takes an operators' command on drains and releases; its outcome goes to `reply` once it is applied.
+    pub fn ask(&mut self, command: pinetrestle_rollout::Command, reply: oneshot::Sender<Reply>) {
+        let now = self.now_ms();
+        info!(self.log, "command taken"; "command" => ?command);
+        self.part.ask(now, command, reply);
     }
 
     /// Takes a wish from the `fleet` command.
@@ -174,7 +212,8 @@
             StateRole::Candidate | StateRole::PreCandidate => "candidate",
         };
         let leases = self
-            .table
+            .replica
+            .leases
             .leases()
             .map(|(task, lease)| LeaseView {
                 task: task.0.clone(),
@@ -207,11 +246,12 @@
             leader: raft.leader_id,
             term: raft.term,
             commit: raft.raft_log.committed,
-            applied: self.table.applied(),
+            applied: self.replica.applied(),
             boot: self.boot,
             members: self.config.peers.iter().map(|p| p.id).collect(),
             leases,
             mine,
+            rollout: self.part.status(&self.replica.rollout),
         }
     }
 
@@ -219,18 +259,20 @@
         let leads = self.raw.raft.state == StateRole::Leader;
         if leads && !self.expiry.leading() {
             info!(self.log, "became leader"; "term" => self.raw.raft.term);
-            self.expiry.elected(now, &self.table);
+            self.expiry.elected(now, &self.replica.leases);
+            self.part.leads(now, true, &self.replica.rollout);
         } else if !leads && self.expiry.leading() {
             info!(self.log, "no longer leader"; "term" => self.raw.raft.term);
             self.expiry.step_down();
+            self.part.leads(now, false, &self.replica.rollout);
         }
     }
 
-    fn propose(&mut self, command: &Command) {
+    fn propose(&mut self, entry: &Logged) {
         if self.raw.raft.leader_id == raft::INVALID_ID {
             return;
         }
-        if let Err(error) = self.raw.propose(Vec::new(), wire::encode(command)) {
+        if let Err(error) = self.raw.propose(Vec::new(), wire::encode(entry)) {
             warn!(self.log, "proposal dropped"; "error" => %error);
         }
     }
@@ -244,7 +286,7 @@
                         info!(self.log, "acting"; "task" => &task.0, "token" => token.0);
                         self.acting.insert(task.clone(), token);
                     }
-                    if due {
+                    if due && task.0 != RELEASE_TASK {
                         self.act_seq += 1;
                         let sent_us = wire::wall_us();
                         out.actions.push(Action {
@@ -279,7 +321,9 @@
         if !ready.snapshot().is_empty() {
             let snapshot = ready.snapshot().clone();
             self.raw.mut_store().apply_snapshot(&snapshot)?;
-            self.table = wire::decode(&snapshot.data).unwrap_or_default();
+            self.replica = wire::decode(&snapshot.data).ok_or_else(|| {
+                failed("the leader's snapshot does not decode: another version of this program?")
+            })?;
             info!(self.log, "snapshot taken from the leader"; "index" => snapshot.get_metadata().index);
         }
         let committed = ready.take_committed_entries();
@@ -305,35 +349,62 @@
     fn apply(&mut self, entries: Vec<Entry>) {
         let now = self.now_ms();
         for entry in entries {
-            if entry.index <= self.table.applied() {
+            if entry.index <= self.replica.applied() {
                 continue;
             }
             if entry.get_entry_type() != EntryType::EntryNormal || entry.data.is_empty() {
                 continue;
             }
-            let Some(command) = wire::decode::<Command>(&entry.data) else {
+            let Some(logged) = wire::decode::<Logged>(&entry.data) else {
                 warn!(self.log, "entry does not decode"; "index" => entry.index);
                 continue;
             };
-            let before = self.table.lease(command.task()).cloned();
-            let outcome = self.table.apply(entry.index, &command);
-            self.note(&command, &outcome, before.as_ref());
-            if let Command::Acquire { task, member, request, .. }
-            | Command::Release { task, member, request, .. } = &command
-            {
-                if member.0 == self.id {
-                    if let Some(holder) = self.holders.get_mut(task) {
-                        holder.answer(now, *request, &outcome);
-                    }
+            let before = match &logged {
+                Logged::Lease(command) => self.replica.leases.lease(command.task()).cloned(),
+                Logged::Rollout(_) => None,
+            };
+            match (&logged, self.replica.apply(entry.index, &logged)) {
+                (Logged::Lease(command), Decided::Lease(outcome)) => {
+                    self.note(command, &outcome, before.as_ref());
+                    self.hand_on(now, command, &outcome);
                 }
+                (Logged::Rollout(command), Decided::Rollout(outcome)) => {
+                    self.note_rollout(entry.index, command, &outcome);
+                }
+                _ => {}
             }
-            if matches!(outcome, Outcome::Released | Outcome::Expired) {
-                if let Some(holder) = self.holders.get_mut(command.task()) {
-                    holder.freed(now);
+        }
+        self.expiry.observe(now, &self.replica.leases);
+    }
+
+    /// Tells this member's own holder what became of its request, or that its task is free.
+    fn hand_on(&mut self, now: u64, command: &Command, outcome: &Outcome) {
+        if let Command::Acquire { task, member, request, .. }
+        | Command::Release { task, member, request, .. } = command
+        {
+            if member.0 == self.id {
+                if let Some(holder) = self.holders.get_mut(task) {
+                    holder.answer(now, *request, outcome);
                 }
             }
         }
-        self.expiry.observe(now, &self.table);
+        if matches!(outcome, Outcome::Released | Outcome::Expired) {
+            if let Some(holder) = self.holders.get_mut(command.task()) {
+                holder.freed(now);
+            }
+        }
+    }
+
+    /// One log line for each decision on drains and releases, with its reason.
+    fn note_rollout(
+        &self,
+        index: u64,
+        command: &pinetrestle_rollout::Command,
+        outcome: &pinetrestle_rollout::Outcome,
+    ) {
+        if let Some(reason) = reason(outcome) {
+            info!(self.log, "rollout"; "index" => index, "command" => ?command, "reason" => reason);
+        }
     }
 
     /// One log line for each lease that begins or ends, with its reason.
@@ -364,9 +435,9 @@
 
     fn compact(&mut self) -> io::Result<()> {
         let (index, _) = self.raw.store().snapshot_data();
-        let applied = self.table.applied();
+        let applied = self.replica.applied();
         if applied >= index + self.config.snapshot_every && applied <= self.raw.raft.raft_log.committed {
-            let data = wire::encode(&self.table);
+            let data = wire::encode(&self.replica);
             self.raw.mut_store().compact(applied, data)?;
             info!(self.log, "snapshot written"; "index" => applied, "log_bytes" => self.raw.store().log_bytes());
         }
--- a/crates/member/src/net.rs
+++ b/crates/member/src/net.rs
@@ -1,15 +1,19 @@
 //! The sockets of a member: one listener for peers and commands, one connection out to each peer and to the task
 //! sink, each with a bounded queue. A queue that is full drops what comes: Raft sends again what matters.
 
+use crate::config::FleetFile;
+use crate::front::{Front, Look};
 use crate::member::{Member, Out};
+use crate::relay;
 use crate::wire::{self, Action, Ask, Hello, Reply};
 use futures_util::{SinkExt, StreamExt};
+use pinetrestle_rollout::Act;
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::bytes::Bytes;
 
 /// Frames waiting for one peer, at most.
@@ -33,6 +37,7 @@
     peers: Vec<(u64, SocketAddr)>,
     sink: Option<SocketAddr>,
     tick: Duration,
+    mut beside: Beside,
     log: Logger,
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
@@ -53,21 +58,90 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let mut out = Out::default();
+        beside.feed(&mut member);
         tokio::select! {
             _ = ticks.tick() => member.tick(&mut out)?,
             Some(bytes) = inbound.recv() => member.receive(&bytes),
-            Some((ask, reply)) = commands.recv() => {
-                let answer = match ask {
-                    Ask::Status => Reply::Status(member.status()),
-                    Ask::Want { task, want } => match member.want(&task, want) {
-                        Ok(()) => Reply::Wanted,
-                        Err(why) => Reply::Refused(why),
-                    },
-                };
-                let _ = reply.send(answer);
-            }
+            Some((ask, reply)) = commands.recv() => answer(&mut member, ask, reply),
         }
         carry(&mut out, &outs, actions.as_ref());
+        beside.carry(&mut out);
+    }
+}
+
+fn answer(member: &mut Member, ask: Ask, reply: oneshot::Sender<Reply>) {
+    let answer = match ask {
+        Ask::Rollout(command) => return member.ask(command, reply),
+        Ask::Status => Reply::Status(Box::new(member.status())),
+        Ask::Want { task, want } => match member.want(&task, want) {
+            Ok(()) => Reply::Wanted,
+            Err(why) => Reply::Refused(why),
+        },
+    };
+    let _ = reply.send(answer);
+}
+
+/// What runs beside the member in its process: the driver of its front node and the relay of the list.
+#[derive(Default)]
+pub struct Beside {
+    /// Acts for the front node's driver, and what it sees.
+    pub front: Option<(mpsc::Sender<Act>, watch::Receiver<Look>)>,
+    /// The relay.
+    pub relay: Option<relay::Ends>,
+    /// An act the driver had no place for yet.
+    waiting: Option<Act>,
+}
+
+impl Beside {
+    /// Starts what the file names.
+    ///
+    /// # Errors
+    /// When the relay's address can't be bound.
+    pub async fn start(file: &FleetFile, log: &Logger) -> std::io::Result<Beside> {
+        let Some(front) = &file.front else { return Ok(Beside::default()) };
+        std::fs::create_dir_all(&file.data_dir)?;
+        let (acts, acts_in) = mpsc::channel(1);
+        let (looks, seen) = watch::channel(Look::default());
+        let driver = Front::new(front.clone(), &file.data_dir, log.clone());
+        let relay = match &front.relay {
+            Some(relay) => Some(relay::start(relay, seen.clone(), log.clone()).await?),
+            None => None,
+        };
+        tokio::task::spawn_local(driver.run(acts_in, looks));
+        Ok(Beside { front: Some((acts, seen)), relay, waiting: None })
+    }
+
+    fn feed(&mut self, member: &mut Member) {
+        if let Some((_, looks)) = &mut self.front {
+            if looks.has_changed().unwrap_or(false) {
+                member.part.look = looks.borrow_and_update().clone();
+            }
+        }
+        if let Some(relay) = &mut self.relay {
+            if relay.listed.has_changed().unwrap_or(false) {
+                member.part.listed = relay.listed.borrow_and_update().clone();
+            }
+            if relay.told.has_changed().unwrap_or(false) {
+                member.part.told = relay.told.borrow_and_update().clone();
+            }
+        }
+    }
+
+    fn carry(&mut self, out: &mut Out) {
+        if let (Some(relay), Some(view)) = (&self.relay, out.view.take()) {
+            relay.view.send_if_modified(|known| {
+                let new = *known != view;
+                *known = view;
+                new
+            });
+        }
+        // The agent says an act once: one that found no place is kept, and a later one goes before it.
+        self.waiting = out.act.take().or(self.waiting.take());
+        if let (Some((acts, _)), Some(act)) = (&self.front, self.waiting.take()) {
+            if let Err(mpsc::error::TrySendError::Full(act)) = acts.try_send(act) {
+                self.waiting = Some(act);
+            }
+        }
     }
 }
 
--- /dev/null
+++ b/crates/member/src/replica.rs
@@ -0,0 +1,56 @@
+//! The replicated state of a fleet: leases, and drains and releases. Every member applies the same entries in the
+//! log's order.
+
+use pinetrestle_fleet::{Command, LeaseTable, Outcome, Task, Token};
+use pinetrestle_rollout::{Rollout, RELEASE_TASK};
+use serde::{Deserialize, Serialize};
+
+/// One entry of the log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Entry {
+    /// About leases.
+    Lease(Command),
+    /// About drains and releases.
+    Rollout(pinetrestle_rollout::Command),
+}
+
+/// What an entry decided.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Decided {
+    /// About leases.
+    Lease(Outcome),
+    /// About drains and releases.
+    Rollout(pinetrestle_rollout::Outcome),
+}
+
+/// The whole state. Serializable, as a snapshot.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Replica {
+    /// Who holds which task.
+    pub leases: LeaseTable,
+    /// What is away, what is on its way.
+    pub rollout: Rollout,
+}
+
+impl Replica {
+    /// The index of the last entry applied.
+    pub fn applied(&self) -> u64 {
+        self.leases.applied().max(self.rollout.applied())
+    }
+
+    /// The token of the release lease, which entries of drains and releases are compared with.
+    pub fn release_token(&self) -> Option<Token> {
+        self.leases.lease(&Task(RELEASE_TASK.to_owned())).map(|lease| lease.token)
+    }
+
+    /// Applies the entry at log `index`, above every index applied before.
+    pub fn apply(&mut self, index: u64, entry: &Entry) -> Decided {
+        match entry {
+            Entry::Lease(command) => Decided::Lease(self.leases.apply(index, command)),
+            Entry::Rollout(command) => {
+                let token = self.release_token();
+                Decided::Rollout(self.rollout.apply(index, command, token))
+            }
+        }
+    }
+}
--- a/crates/member/src/show.rs
+++ b/crates/member/src/show.rs
@@ -1,6 +1,6 @@
 //! A member's status for people: a table, and sentences that explain.
 
-use crate::wire::Status;
+use crate::wire::{RolloutView, Status};
 use std::fmt::Write;
 
 /// The status as a table.
@@ -31,9 +31,119 @@
             let _ = writeln!(out, "{:<24} {:>5} {:<26} {:>9}", mine.task, mine.want, mine.state, acting);
         }
     }
+    if let Some(rollout) = &status.rollout {
+        rollout_table(&mut out, rollout);
+    }
     out
 }
 
+fn rollout_table(out: &mut String, view: &RolloutView) {
+    let good = if view.good.is_empty() { "-" } else { &view.good };
+    let away = view.nodes.iter().filter(|n| n.away).count();
+    let _ = writeln!(
+        out,
+        "\nplan {}  last good {good}  front nodes away {away} of {} allowed  index servers away {} of {} allowed",
+        view.revision,
+        view.node_limit,
+        view.servers.len(),
+        view.server_limit
+    );
+    if let Some((id, why)) = &view.halted {
+        let _ = writeln!(out, "HALTED by {id}: {why}");
+    }
+    if let Some(r) = &view.release {
+        let _ = writeln!(
+            out,
+            "release {}  {} to {}  {}  {}  {} of {} passed  {} failed",
+            r.id,
+            r.from,
+            r.to,
+            r.way,
+            r.stage,
+            r.passed,
+            view.nodes.len(),
+            r.failures
+        );
+    }
+    let _ =
+        writeln!(out, "\n{:>6} {:<16} {:<7} {:<5} {:<16} STEP", "NODE", "VERSION", "READY", "AWAY", "SLOT");
+    for n in &view.nodes {
+        let ready = if n.lost {
+            "unheard"
+        } else if n.ready {
+            "yes"
+        } else {
+            "no"
+        };
+        let slot = match n.slot {
+            None => "-".to_owned(),
+            Some((index, begun)) => format!("{index}{}", if begun { " begun" } else { "" }),
+        };
+        let away = if n.away { "yes" } else { "no" };
+        let _ =
+            writeln!(out, "{:>6} {:<16} {:<7} {:<5} {:<16} {}", n.id, n.version, ready, away, slot, n.step);
+    }
+    if !view.servers.is_empty() {
+        let _ = writeln!(out, "\n{:<24} {:<8} {:<5} {:>5} PHASE", "INDEX SERVER", "ZONE", "UP", "TOLD");
+        for s in &view.servers {
+            let _ = writeln!(out, "{:<24} {:<8} {:<5} {:>5} {}", s.name, s.zone, s.up, s.told, s.phase);
+        }
+    }
+}
+
+/// Why a release or a drain stands where it does.
+fn explain_rollout(out: &mut String, view: &RolloutView) {
+    if let Some((id, why)) = &view.halted {
+        let _ = writeln!(out, "All is halted ({id}): {why}. No step begins until `resume` or `rollback`.");
+    }
+    match &view.release {
+        Some(r) if r.stage == "running" => {
+            let _ = writeln!(
+                out,
+                "Release {} goes {} to {}.",
+                r.id,
+                r.way,
+                if r.way == "back" { &r.from } else { &r.to }
+            );
+            for n in &view.nodes {
+                if let Some(why) = &n.waits {
+                    let _ = writeln!(out, "Front node {} waits: {why}.", n.id);
+                } else if let Some((index, begun)) = n.slot {
+                    let what = if begun { "is on its way" } else { "may go, its agent has not begun" };
+                    let _ = writeln!(out, "Front node {} {what} (slot {index}).", n.id);
+                } else if n.step.starts_with("failed") {
+                    let _ = writeln!(out, "Front node {} {}.", n.id, n.step);
+                }
+            }
+        }
+        Some(r) => {
+            let _ = writeln!(out, "Release {} is {}.", r.id, r.stage);
+        }
+        None => {}
+    }
+    for n in view.nodes.iter().filter(|n| n.away) {
+        let why = if n.lost {
+            "its member is not heard"
+        } else if n.slot.is_some() {
+            "it holds a slot"
+        } else if !n.ready {
+            "it does not serve"
+        } else {
+            "its step failed"
+        };
+        let _ = writeln!(out, "Front node {} counts as away: {why}.", n.id);
+    }
+    for s in &view.servers {
+        let all = view.nodes.len();
+        let more = match s.phase.as_str() {
+            "draining" => format!("; {} of {all} front nodes have been told", s.told),
+            "drained" => "; every front node has been told, it may be stopped".to_owned(),
+            _ => String::new(),
+        };
+        let _ = writeln!(out, "Index server {} counts as away: {}{more}.", s.name, s.phase);
+    }
+}
+
 /// Why each task this member knows of is held where it is, or waits.
 pub fn explain(status: &Status) -> String {
     let mut out = String::new();
@@ -57,7 +167,7 @@
                 mine.task, l.token
             ),
             (Some(l), _) => format!(
-                "{}: held by member {} under token {}; this member {} and asks again after a quarter lease.",
+                "{}: held by member {} under token {}; this member {} and asks again when it ends, or after a lease.",
                 mine.task,
                 l.holder,
                 l.token,
@@ -78,5 +188,8 @@
             lease.task, lease.holder, lease.token
         );
     }
+    if let Some(rollout) = &status.rollout {
+        explain_rollout(&mut out, rollout);
+    }
     out
 }
--- a/crates/member/src/wire.rs
+++ b/crates/member/src/wire.rs
@@ -40,15 +40,19 @@
         /// Wants it, or gives it back.
         want: bool,
     },
+    /// An operators' command on drains and releases; answered once it is applied.
+    Rollout(pinetrestle_rollout::Command),
 }
 
 /// A member's answer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Reply {
     /// Where it stands.
-    Status(Status),
+    Status(Box<Status>),
     /// The wish was taken.
     Wanted,
+    /// What the fleet decided on a command on drains and releases.
+    Decided(pinetrestle_rollout::Outcome),
     /// Refused, and why.
     Refused(String),
 }
@@ -76,6 +80,86 @@
     pub leases: Vec<LeaseView>,
     /// This member's own side of each task it wants or holds.
     pub mine: Vec<MineView>,
+    /// Drains and releases, where a plan is agreed.
+    pub rollout: Option<RolloutView>,
+}
+
+/// Drains and releases as this member has applied them.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct RolloutView {
+    /// The plan's revision.
+    pub revision: u64,
+    /// Front nodes that may be away at once.
+    pub node_limit: u32,
+    /// Index servers that may be away at once.
+    pub server_limit: u32,
+    /// The version every front node passed last; empty before the first release ended.
+    pub good: String,
+    /// The halt in force, its id and why.
+    pub halted: Option<(String, String)>,
+    /// The running or last release.
+    pub release: Option<ReleaseView>,
+    /// Each front node.
+    pub nodes: Vec<NodeView>,
+    /// Index servers that are not simply up and serving.
+    pub servers: Vec<ServerView>,
+    /// What this member's agent is about.
+    pub agent: Option<String>,
+}
+
+/// A release.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct ReleaseView {
+    /// Its id.
+    pub id: String,
+    /// The version it leaves.
+    pub from: String,
+    /// The version it brings.
+    pub to: String,
+    /// Forward or back.
+    pub way: String,
+    /// Running, done or rolled back.
+    pub stage: String,
+    /// Front nodes that passed.
+    pub passed: u32,
+    /// Steps failed since it began, was resumed or turned back.
+    pub failures: u32,
+}
+
+/// One front node.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct NodeView {
+    /// Its member.
+    pub id: u64,
+    /// The version it said.
+    pub version: String,
+    /// Whether it said that it serves.
+    pub ready: bool,
+    /// Whether its member is not heard.
+    pub lost: bool,
+    /// Whether it counts as away.
+    pub away: bool,
+    /// Its slot: index, and whether its agent has begun.
+    pub slot: Option<(u64, bool)>,
+    /// Where it stands in the release, in words.
+    pub step: String,
+    /// Why it may not go now, if its turn has not come.
+    pub waits: Option<String>,
+}
+
+/// One index server.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct ServerView {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether discovery lists it as up.
+    pub up: bool,
+    /// Where it stands, in words.
+    pub phase: String,
+    /// Front nodes that have been told.
+    pub told: u32,
 }
 
 /// One lease as the replicated table holds it.
--- a/crates/rollout/src/agent.rs
+++ b/crates/rollout/src/agent.rs
@@ -29,6 +29,8 @@
 
 /// Milliseconds between two tries of the same thing.
 const AGAIN_MS: u64 = 250;
+/// Milliseconds between two polls that count at most.
+const MOST_GAP_MS: u64 = 250;
 /// Milliseconds between two starts of a front node that ends by itself.
 const RESTART_MS: u64 = 500;
 
@@ -67,8 +69,14 @@
     waits: Waits,
     mode: Option<Mode>,
     first: String,
+    /// Reports of this start are numbered above it.
+    base: u64,
     next_seq: u64,
     reported: Option<(String, bool, u64)>,
+    /// Milliseconds this agent has been at work: a time in which it stood still counts [`MOST_GAP_MS`] at most, since
+    /// it has looked at nothing meanwhile.
+    at_work: u64,
+    last_now: Option<u64>,
     began_at: Option<(u64, u64)>,
     told_at: Option<u64>,
     started_at: Option<u64>,
@@ -93,8 +101,11 @@
             waits: Waits { stop_ms, start_ms },
             mode: None,
             first,
+            base: seq,
             next_seq: seq + 1,
             reported: None,
+            at_work: 0,
+            last_now: None,
             began_at: None,
             told_at: None,
             started_at: None,
@@ -126,9 +137,16 @@
 
     /// Commands to propose and what to do with the front node at `now_ms`.
     pub fn poll(&mut self, now_ms: u64, seen: &Seen, state: &Rollout) -> (Vec<Command>, Option<Act>) {
+        let gap = now_ms.saturating_sub(self.last_now.unwrap_or(now_ms));
+        self.at_work += gap.min(MOST_GAP_MS);
+        self.last_now = Some(now_ms);
+        let now_ms = self.at_work;
         let mut commands = Vec::new();
         let known = state.node(self.me);
-        let slot = known.and_then(|n| n.slot.clone());
+        // A log read after a restart may show slots that ended long ago. Once it shows a report of this start, it
+        // shows all that was decided before this start; until then the front node is kept up and nothing else.
+        let current = known.is_some_and(|n| n.seq > self.base);
+        let slot = known.filter(|_| current).and_then(|n| n.slot.clone());
         let last = known.map(|n| n.version.clone()).filter(|v| self.versions.contains(v));
         let mode = self.mode.take().unwrap_or_else(|| Mode::Steady {
             want: seen.running.clone().or(last).unwrap_or_else(|| self.first.clone()),
@@ -295,7 +313,7 @@
             (None, Mode::Step { slot, .. }) => slot.leaves.clone(),
         };
         let ready = seen.running.is_some() && seen.ready;
-        if !known.lost && known.seq > 0 && known.version == version && known.ready == ready {
+        if !known.lost && known.seq > self.base && known.version == version && known.ready == ready {
             return;
         }
         let fresh = self
--- a/crates/rollout/tests/random.rs
+++ b/crates/rollout/tests/random.rs
@@ -93,7 +93,7 @@
         14 => n.clone().prop_map(Event::Poll),
         6 => n.clone().prop_map(Event::Conduct),
         1 => n.clone().prop_map(Event::NewHolder),
-        1 => n.clone().prop_map(Event::NewAgent),
+        3 => n.clone().prop_map(Event::NewAgent),
         10 => n.clone().prop_map(Event::ProcessMoves),
         3 => n.clone().prop_map(Event::Crash),
         1 => n.clone().prop_map(Event::Unsound),
@@ -174,7 +174,8 @@
                     if self.members[&m].stalled_until > self.now {
                         continue;
                     }
-                    self.apply(m, usize::MAX);
+                    // Now and then the members read their logs slowly.
+                    self.apply(m, if set & 1 == 0 { usize::MAX } else { 2 });
                     self.poll(m);
                     self.play(&Event::ProcessMoves(m));
                 }
--- a/crates/rollout/tests/words.rs
+++ b/crates/rollout/tests/words.rs
@@ -267,7 +267,7 @@
     let (node, slot) = (MemberId(1), fleet.slot(1));
     fleet.says(Command::Begin { node, slot });
     let versions = ["v1", "v2"].map(String::from).into();
-    let mut agent = Agent::new(node, versions, "v1".into(), 10, 1_000, 1_000);
+    let mut agent = Agent::new(node, versions, "v1".into(), 0, 1_000, 1_000);
     let seen = |running: Option<&str>| Seen {
         running: running.map(String::from),
         ready: running.is_some(),
@@ -275,10 +275,10 @@
     };
     assert_eq!(agent.poll(0, &seen(Some("v1")), &fleet.state).1, Some(Act::Stop));
     assert_eq!(agent.poll(10, &seen(None), &fleet.state).1, Some(Act::Start("v2".into())));
-    agent.poll(700, &seen(Some("v2")), &fleet.state);
-    let (said, _) = agent.poll(900, &seen(Some("v2")), &fleet.state);
+    agent.poll(100, &seen(Some("v2")), &fleet.state);
+    let (said, _) = agent.poll(300, &seen(Some("v2")), &fleet.state);
     assert!(said.iter().any(|c| matches!(c, Command::Finished { .. })), "{said:?}");
     // It ends before the word is known to be in the log: the word may be in, so the goal it is.
-    let (_, act) = agent.poll(910, &seen(None), &fleet.state);
+    let (_, act) = agent.poll(550, &seen(None), &fleet.state);
     assert_eq!(act, Some(Act::Start("v2".into())));
 }
