--- a/crates/member/tests/five.rs
+++ b/crates/member/tests/five.rs
@@ -6,16 +6,19 @@
 //! Checked on each of 20 seeds: no stale token taken; never two tokens whose taken actions were decided in
 //! overlapping intervals; after every fault the task is acted on again within [`BOUND_MS`].
 
-use pinetrestle_faultnet::{Fault, Proxy};
+mod common;
+
+use common::{ports, wall_us, Mesh};
+use pinetrestle_faultnet::Fault;
 use pinetrestle_member::net;
 use pinetrestle_member::wire::{Ask, Reply};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 const MEMBERS: u64 = 5;
 const TICK_MS: u64 = 20;
@@ -29,23 +32,6 @@
 const TASKS: [&str; 2] = ["refresh-lists", "rebuild-index"];
 const AT_ONCE: u64 = 5;
 
-/// Ports for the members and the sink, below the kernel's range for port 0 (where the proxies bind), so that no
-/// proxy of a seed played beside this one takes a member's port between its check and the member's start.
-fn ports(seed: u64, count: u64) -> Vec<(TcpListener, SocketAddr)> {
-    let base = 20_000 + (u64::from(std::process::id()) % 40) * 300 + seed * 12;
-    let mut found = Vec::new();
-    let mut port = base;
-    while (found.len() as u64) < count && port < 32_000 {
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
-            let addr = listener.local_addr().unwrap();
-            found.push((listener, addr));
-        }
-        port += 1;
-    }
-    assert_eq!(found.len() as u64, count, "no free ports from {base}");
-    found
-}
-
 /// The address the sink says it listens on, waited for up to 10 s.
 async fn sink_address(log: &Path) -> SocketAddr {
     for _ in 0..200 {
@@ -58,16 +44,12 @@
     panic!("the sink named no address: {}", std::fs::read_to_string(log).unwrap_or_default());
 }
 
-fn wall_us() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64
-}
-
 struct Fleet {
     dir: PathBuf,
     addrs: BTreeMap<u64, SocketAddr>,
     children: BTreeMap<u64, Child>,
     sink: Child,
-    proxies: BTreeMap<(u64, u64), Proxy>,
+    mesh: Mesh,
 }
 
 impl Fleet {
@@ -81,39 +63,22 @@
             .spawn()
             .unwrap();
         let sink_addr = sink_address(&dir.join("sink.log")).await;
-        let held = ports(seed, MEMBERS);
+        let base = 20_000 + (u64::from(std::process::id()) % 40) * 300 + seed * 12;
+        let held = ports(base, MEMBERS as usize);
         let addrs: BTreeMap<u64, SocketAddr> = (1..=MEMBERS).map(|i| (i, held[i as usize - 1].1)).collect();
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let mut proxies = BTreeMap::new();
+        let mesh = Mesh::start(&addrs, seed).await;
         for from in 1..=MEMBERS {
-            for to in (1..=MEMBERS).filter(|&to| to != from) {
-                let name = format!("{from}->{to}");
-                let listen = "127.0.0.1:0".parse().unwrap();
-                let proxy = Proxy::start(&name, listen, addrs[&to], seed ^ (from << 8 | to), log.clone())
-                    .await
-                    .unwrap();
-                proxies.insert((from, to), proxy);
-            }
-        }
-        for from in 1..=MEMBERS {
-            let peers: Vec<String> =
-                addrs.iter().map(|(id, addr)| format!("{{ id: {id}, addr: \"{addr}\" }}")).collect();
-            let dial: Vec<String> = (1..=MEMBERS)
-                .filter(|&to| to != from)
-                .map(|to| format!("{{ id: {to}, addr: \"{}\" }}", proxies[&(from, to)].addr()))
-                .collect();
             let text = format!(
-                "{{ id: {from}, peers: [{}], dial: [{}], data_dir: \"{}\", tick_ms: {TICK_MS}, election_ticks: 10, \
+                "{{ id: {from}, {}, data_dir: \"{}\", tick_ms: {TICK_MS}, election_ticks: 10, \
                  heartbeat_ticks: 2, lease_ms: {LEASE_MS}, tasks: [\"refresh-lists\", \"rebuild-index\"], sink: \"{sink_addr}\", \
                  act_ms: 20, snapshot_every: 200 }}",
-                peers.join(", "),
-                dial.join(", "),
+                mesh.keys(&addrs, from),
                 dir.join(format!("data-{from}")).display()
             );
             std::fs::write(dir.join(format!("m{from}.json5")), text).unwrap();
         }
         drop(held);
-        let mut fleet = Fleet { dir: dir.to_path_buf(), addrs, children: BTreeMap::new(), sink, proxies };
+        let mut fleet = Fleet { dir: dir.to_path_buf(), addrs, children: BTreeMap::new(), sink, mesh };
         for id in 1..=MEMBERS {
             fleet.up(id);
         }
@@ -134,8 +99,7 @@
     }
 
     fn signal(&self, id: u64, signal: &str) {
-        let pid = self.children[&id].id().to_string();
-        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+        assert!(common::signal(self.children[&id].id(), signal));
     }
 
     fn kill(&mut self, id: u64) {
@@ -145,14 +109,6 @@
         }
     }
 
-    fn links(&self, cut: impl Fn(u64, u64) -> bool, fault: Fault) {
-        for (&(from, to), proxy) in &self.proxies {
-            if cut(from, to) {
-                proxy.set(fault);
-            }
-        }
-    }
-
     async fn leader(&self) -> Option<u64> {
         for addr in self.addrs.values() {
             if let Ok(Reply::Status(status)) = net::ask(*addr, Ask::Status, Duration::from_millis(300)).await
@@ -229,9 +185,11 @@
                 let cut: Vec<(u64, u64)> = (0..4)
                     .map(|_| (random.random_range(1..=MEMBERS), random.random_range(1..=MEMBERS)))
                     .collect();
-                fleet.links(|from, to| cut.contains(&(from, to)) || cut.contains(&(to, from)), Fault::Drop);
+                fleet
+                    .mesh
+                    .set(|from, to| cut.contains(&(from, to)) || cut.contains(&(to, from)), Fault::Drop);
                 sleep(1_000).await;
-                fleet.links(|_, _| true, Fault::Heal);
+                fleet.mesh.set(|_, _| true, Fault::Heal);
             }
             Kind::Split => {
                 // The holder on the side of two, so that its side can't renew.
@@ -239,9 +197,9 @@
                 let other = (holder % MEMBERS) + 1;
                 let small = |id: u64| id == holder || id == other;
                 let fault = if random.random_range(0..2) == 0 { Fault::Drop } else { Fault::Stall };
-                fleet.links(|from, to| small(from) != small(to), fault);
+                fleet.mesh.set(|from, to| small(from) != small(to), fault);
                 sleep(1_500).await;
-                fleet.links(|_, _| true, Fault::Heal);
+                fleet.mesh.set(|_, _| true, Fault::Heal);
             }
             Kind::StallHolder => {
                 let holder = fleet.holder().unwrap_or(1);
--- a/crates/node/tests/embed.rs
+++ b/crates/node/tests/embed.rs
@@ -1,10 +1,8 @@
 //! The node embedded in another program: started, asked, stopped, without a process of its own.
 
-mod common;
-
-use common::{config_json, list};
 use pinetrestle_node::counters::Counters;
 use pinetrestle_node::{serve, Config};
+use pinetrestle_standins::{config_json, list};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/node/tests/flight.rs
+++ b/crates/node/tests/flight.rs
@@ -1,10 +1,9 @@
 //! The flight recorder of a running program: its operator file, when it writes, and what it wrote.
 
-mod common;
-
-use common::{config_json, entries, entry, list};
 use pinetrestle_recorder::{key_of, life, text, Record, Step};
-use pinetrestle_standins::{eventually, query, Client, Discovery, Doing, Program, Server};
+use pinetrestle_standins::{
+    config_json, entries, entry, eventually, list, query, Client, Discovery, Doing, Program, Server,
+};
 use std::io::Write;
 use std::process::Command;
 
--- a/crates/node/tests/reload.rs
+++ b/crates/node/tests/reload.rs
@@ -1,9 +1,8 @@
 //! A new configuration while the program serves: SIGHUP with good, broken and missing files.
 
-mod common;
-
-use common::{config_json, entries, entry, list};
-use pinetrestle_standins::{eventually, query, Discovery, Doing, Program, Server};
+use pinetrestle_standins::{
+    config_json, entries, entry, eventually, list, query, Discovery, Doing, Program, Server,
+};
 use serde_json::{json, Value};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -1,9 +1,8 @@
 //! The program among clients and index servers that misbehave, beside usual ones that are served.
 
-mod common;
-
-use common::{config_json, entries, list};
-use pinetrestle_standins::{eventually, query, Client, Discovery, Doing, Program, Server};
+use pinetrestle_standins::{
+    config_json, entries, eventually, list, query, Client, Discovery, Doing, Program, Server,
+};
 use serde_json::{json, Value};
 use std::thread;
 use std::time::{Duration, Instant};
--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -1,10 +1,8 @@
 //! The program started as it is in service, spoken to on sockets, with stand-ins around it.
 
-mod common;
-
-use common::{config_json, entries, list};
 use pinetrestle_standins::{
-    eventually, query, start_badly, start_badly_with, Client, Discovery, Doing, Program, Server, Telling,
+    config_json, entries, eventually, list, query, start_badly, start_badly_with, Client, Discovery, Doing,
+    Program, Server, Telling,
 };
 use serde_json::{json, Value};
 use std::net::TcpListener;
--- a/crates/node/tests/stalls.rs
+++ b/crates/node/tests/stalls.rs
@@ -1,10 +1,9 @@
 //! Index servers that stop reading under load, all at once, and go on: what is sent into the silence, where few
 //! places and cancels that stop no work would have it read long after.
 
-mod common;
-
-use common::{config_json, entries_at, list};
-use pinetrestle_standins::{eventually, query, Client, Discovery, Program, Stamping, Work};
+use pinetrestle_standins::{
+    config_json, entries_at, eventually, list, query, Client, Discovery, Program, Stamping, Work,
+};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
--- /dev/null
+++ b/crates/standins/src/deployment.rs
@@ -0,0 +1,52 @@
+//! A small deployment: three cells of index servers, one class of any two of three parts (`any`), one that needs all
+//! parts (`all`), one with a second step (`steps`).
+
+use crate::servers::Server;
+use crate::words::entry;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+
+/// Its settings.
+pub fn settings() -> Value {
+    let class = |name: &str| {
+        json!({"name": name, "aim": 800_000, "hard_limit": 3_000_000, "gain": 1.0, "late_worth": 0.3,
+               "effect": "retryable", "dedup_window": 1_000_000, "stream": false, "group": "all"})
+    };
+    json!({
+        "fleet_size": 1, "discovery": "ask", "quantum": 5000, "over_share_worth": 0.1,
+        "classes": [class("any"), class("all"), class("steps")],
+        "projects": [{"name": "north", "quota_per_s": 500.0, "share": 1.0}],
+        "clients": {"marks_retry": true}, "fees": {"waste": 0.03},
+        "family_info": {"batch": 4, "positions": 3, "span": 1, "slabs": 9,
+            "need_by_class": [0.66, 1.0, 1.0], "class_floor": [0.66, 1.0, 1.0],
+            "partial_earns": [0.9, 0.9, 0.9], "second_step": [0, 0, 2]},
+        "permissions": {"cancel": true, "may_duplicate": true, "retry_after": true, "max_retry_after": 500_000,
+            "try_limit": 3, "most_held": 60, "conn_idle": 15_000_000, "connect_timeout": 250_000,
+            "streams_per_conn": 32},
+        "rules": {"cold_share": 0.3, "warm_within": 5_000_000, "tip_multiple": 3.0, "fall": 1_000_000,
+            "must_ask_in": 10_000_000, "drain_grace": 1_000_000, "grace_to_answer": 20_000},
+    })
+}
+
+/// Entries of index servers at these addresses, one cell after the other.
+pub fn entries_at(addresses: impl Iterator<Item = SocketAddr>) -> Vec<Value> {
+    let each = addresses.enumerate();
+    each.map(|(n, address)| entry(&format!("s{n}"), &address.to_string(), n as u32 % 3)).collect()
+}
+
+/// The entries of these index servers.
+pub fn entries(servers: &[Server]) -> Vec<Value> {
+    entries_at(servers.iter().map(|server| server.address))
+}
+
+/// A whole list at a version.
+pub fn list(index: u64, entries: &[Value]) -> Value {
+    json!({"index": index, "snapshot": true, "endpoints": entries})
+}
+
+/// A front node's configuration file.
+pub fn config_json(listen: &str, discovery: &str, known: &Value) -> Value {
+    json!({"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
+           "settings": settings()})
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,9 +10,11 @@
 //! | [`Server`] | an index server that answers at once, late, badly, or not at all ([`Doing`]) |
 //! | [`Stamping`] | an index server with bounded places a connection, work times, drain and cold start, that stops reading on demand and stamps each frame when it is read |
 //! | [`Client`] | asks one query at a time |
+//! | [`settings`], [`config_json`] | a small deployment and its files |
 //! | [`Program`] | starts a front node, reads its log, sends it signals |
 
 mod clients;
+mod deployment;
 mod discovery;
 mod program;
 mod servers;
@@ -20,6 +22,7 @@
 mod words;
 
 pub use clients::{query, Answer, Client};
+pub use deployment::{config_json, entries, entries_at, list, settings};
 pub use discovery::{Discovery, Telling};
 pub use program::{start_badly, start_badly_with, word, Program, Unread};
 pub use servers::{Doing, PartSeen, Server};
