--- a/crates/member/tests/common/fleet.rs
+++ b/crates/member/tests/common/fleet.rs
@@ -112,6 +112,7 @@
             .args(["fleet", "up", "--config"])
             .arg(self.dir.join(format!("m{id}.json5")))
             .stdin(Stdio::null())
+            .stdout(Stdio::null())
             .stderr(log)
             .spawn()
             .unwrap();
--- a/crates/member/tests/config.rs
+++ b/crates/member/tests/config.rs
@@ -35,3 +35,43 @@
     let dial = fault("// dial: [ { id: 2,", "dial: [ { id: 7,");
     assert!(dial.contains("dial[0].id names no other peer"), "{dial}");
 }
+
+/// A file with these keys besides the least, checked.
+fn with(rest: &str) -> Result<FleetFile, String> {
+    let text = format!(
+        "{{\n  id: 1,\n  peers: [{{ id: 1, addr: \"127.0.0.1:1\" }}, {{ id: 2, addr: \"127.0.0.1:2\" }}],\n  data_dir: \"d\",\n{rest}\n}}"
+    );
+    pinetrestle_operator::parse::<FleetFile>(Path::new("f.json5"), &text).map_err(|fault| fault.to_string())
+}
+
+#[test]
+fn a_bad_rollout_part_is_refused_with_line_key_and_mend() {
+    let budget = "nodes: { most: 1 }, servers: { most: 1 }";
+    let front = "listen: \"127.0.0.1:3\", versions: { v1: { program: \"p\" } }";
+    for (rest, line, key) in [
+        (
+            "  rollout: {\n revision: 1, nodes: {\n most: 0 }, servers: { most: 1 } }".to_owned(),
+            7,
+            "rollout.nodes.most",
+        ),
+        (
+            "  rollout: {\n revision: 1, nodes: { most: 1 }, servers: {\n most: 1,\n share: 2 } }".to_owned(),
+            8,
+            "rollout.servers.share",
+        ),
+        (format!("  rollout: {{ revision: 1, {budget},\n canary: 3 }}"), 6, "rollout.canary"),
+        (format!("  rollout: {{ revision: 1, {budget},\n lost_ms: 900 }}"), 6, "rollout.lost_ms"),
+        (format!("  rollout: {{ revision: 1, {budget},\n step_ms: 5000 }}"), 6, "rollout.step_ms"),
+        (format!("  rollout: {{ revision: 1, {budget},\n ramp_stages: 0 }}"), 6, "rollout.ramp_stages"),
+        (format!("  front: {{ version: \"v1\", {front} }}"), 5, "front"),
+        (
+            format!("  rollout: {{ revision: 1, {budget} }},\n  front: {{\n version: \"v2\", {front} }}"),
+            7,
+            "front.version",
+        ),
+    ] {
+        let said = with(&rest).expect_err(&rest);
+        assert!(said.contains(&format!("f.json5:{line}: {key}")), "{key}: {said}");
+    }
+    assert!(with(&format!("  rollout: {{ revision: 1, {budget} }}")).is_ok());
+}
--- a/crates/member/tests/seven.rs
+++ b/crates/member/tests/seven.rs
@@ -166,15 +166,13 @@
             })
             .collect();
         first += 3;
-        for thread in threads {
-            match thread.join() {
-                Ok((seed, report)) => {
-                    eprintln!("seed {seed}: {}", serde_json::to_string(&report).unwrap());
-                    assert!(report.asked > 500, "hardly any load: {report:?}");
-                    assert!(report.not_200 * 100 <= report.asked, "over 1 % not answered whole: {report:?}");
-                }
-                Err(panic) => std::panic::resume_unwind(panic),
-            }
+        // All of them are waited for, so that a failing one leaves no processes of the others behind.
+        let played: Vec<_> = threads.into_iter().map(|thread| thread.join()).collect();
+        for one in played {
+            let (seed, report) = one.unwrap_or_else(|panic| std::panic::resume_unwind(panic));
+            eprintln!("seed {seed}: {}", serde_json::to_string(&report).unwrap());
+            assert!(report.asked > 500, "hardly any load: {report:?}");
+            assert!(report.not_200 * 100 <= report.asked, "over 1 % not answered whole: {report:?}");
         }
     }
 }
