--- a/crates/rollout/src/conductor.rs
+++ b/crates/rollout/src/conductor.rs
@@ -50,10 +50,14 @@
             let mut order: Vec<MemberId> =
                 release.steps.iter().filter(|(_, s)| **s == Step::Waiting).map(|(n, _)| *n).collect();
             order.sort_by_key(|n| (!state.away(*n), *n));
-            // One more than fits is refused by the log itself; proposing only the first that may go keeps the log
-            // small, and the next poll sees what came of it.
-            let next = order.into_iter().find(|n| state.may_take(*n).is_ok());
-            if let Some(node) = next {
+            // As many as fit, judged one after the other on a copy: an entry's way through the log takes longer than
+            // its turn here. What no longer fits when it is applied is refused by the log itself.
+            let mut trial: Option<Rollout> = None;
+            for node in order {
+                if trial.as_ref().unwrap_or(state).may_take(node).is_err() {
+                    continue;
+                }
+                trial.get_or_insert_with(|| state.clone()).take(state.applied() + 1, node);
                 let asked = self.asked.get(&node).copied();
                 if asked.is_none_or(|at| now_ms >= at + AGAIN_MS) {
                     self.asked.insert(node, now_ms);
--- a/crates/rollout/src/state.rs
+++ b/crates/rollout/src/state.rs
@@ -374,7 +374,7 @@
         self.fits_budget(plan, node).map_err(Refusal::Budget)
     }
 
-    fn take(&mut self, index: u64, id: MemberId) -> Outcome {
+    pub(crate) fn take(&mut self, index: u64, id: MemberId) -> Outcome {
         if let Err(refusal) = self.may_take(id) {
             return Outcome::Refused(refusal);
         }
--- a/crates/rollout/tests/words.rs
+++ b/crates/rollout/tests/words.rs
@@ -282,3 +282,17 @@
     let (_, act) = agent.poll(550, &seen(None), &fleet.state);
     assert_eq!(act, Some(Act::Start("v2".into())));
 }
+
+#[test]
+fn a_conductor_fills_the_budget_at_once_and_asks_for_no_more() {
+    let mut fleet = Fleet::new();
+    fleet.release("a", "v2");
+    let mut conductor = Conductor::new();
+    let takes = |commands: Vec<Command>| -> Vec<u64> {
+        let node = |c: Command| if let Command::Take { node, .. } = c { Some(node.0) } else { None };
+        commands.into_iter().filter_map(node).collect()
+    };
+    assert_eq!(takes(conductor.poll(0, Token(9), &fleet.state)), [1], "the canary");
+    fleet.step_through(1);
+    assert_eq!(takes(conductor.poll(100, Token(9), &fleet.state)), [2, 3], "two of the budget of two");
+}
