--- a/crates/rollout/src/conductor.rs
+++ b/crates/rollout/src/conductor.rs
@@ -14,6 +14,8 @@
     slots: BTreeMap<(MemberId, u64), (u64, Option<u64>)>,
     /// When each server's change was first seen.
     ramps: BTreeMap<(String, u64), u64>,
+    /// Since when each front node has not served, as seen here.
+    dark: BTreeMap<MemberId, u64>,
     /// When something was last proposed for a front node, to leave it time to be applied.
     asked: BTreeMap<MemberId, u64>,
 }
@@ -45,6 +47,13 @@
                 commands.push(Command::Overdue { token, node, slot: slot.index });
             }
         }
+        for (node, known) in state.nodes() {
+            if known.ready || known.lost {
+                self.dark.remove(&node);
+            } else {
+                self.dark.entry(node).or_insert(now_ms);
+            }
+        }
         if let Some(release) = state.release().filter(|r| r.stage == Stage::Running) {
             // Those that are away already go first: the budget is spent on them anyway.
             let mut order: Vec<MemberId> =
@@ -54,7 +63,13 @@
             // its turn here. What no longer fits when it is applied is refused by the log itself.
             let mut trial: Option<Rollout> = None;
             for node in order {
-                if trial.as_ref().unwrap_or(state).may_take(node).is_err() {
+                let now_so = trial.as_ref().unwrap_or(state);
+                if now_so.may_take(node).is_err() {
+                    continue;
+                }
+                // Beyond the budget only one that has not served for as long as a step may take.
+                let dark = self.dark.get(&node).is_some_and(|since| now_ms >= since + plan.step_ms);
+                if !dark && now_so.fits_budget(plan, node).is_err() {
                     continue;
                 }
                 trial.get_or_insert_with(|| state.clone()).take(state.applied() + 1, node);
--- a/crates/rollout/src/state.rs
+++ b/crates/rollout/src/state.rs
@@ -203,6 +203,13 @@
         plan.node_budget.admits(plan.nodes.len(), zone_of(node), others.map(zone_of))
     }
 
+    /// The same, counting as away only those that hold slots.
+    fn fits_steps(&self, plan: &Plan, node: MemberId) -> Result<(), Over> {
+        let zone_of = |n: MemberId| plan.nodes.get(&n).and_then(|p| p.zone.as_deref());
+        let others = self.nodes.iter().filter(|(n, s)| **n != node && s.slot.is_some());
+        plan.node_budget.admits(plan.nodes.len(), zone_of(node), others.map(|(n, _)| zone_of(*n)))
+    }
+
     /// Applies the command at log `index`, above every index applied before. `release_lease` is the token of the
     /// lease that stands on [`crate::RELEASE_TASK`] there.
     pub fn apply(&mut self, index: u64, command: &Command, release_lease: Option<Token>) -> Outcome {
@@ -371,7 +378,12 @@
         if release.behind_canaries(plan) {
             return Err(Refusal::Canary);
         }
-        self.fits_budget(plan, node).map_err(Refusal::Budget)
+        match self.fits_budget(plan, node) {
+            // One that does not serve as it is loses nothing by a step, and a release may be what mends it: only the
+            // places of other steps are counted then. The conductor gives it time to come back by itself first.
+            Err(over) if !state.ready => self.fits_steps(plan, node).map_err(|_| Refusal::Budget(over)),
+            found => found.map_err(Refusal::Budget),
+        }
     }
 
     pub(crate) fn take(&mut self, index: u64, id: MemberId) -> Outcome {
--- a/crates/rollout/tests/words.rs
+++ b/crates/rollout/tests/words.rs
@@ -296,3 +296,32 @@
     fleet.step_through(1);
     assert_eq!(takes(conductor.poll(100, Token(9), &fleet.state)), [2, 3], "two of the budget of two");
 }
+
+#[test]
+fn a_release_mends_a_fleet_of_which_nothing_serves_but_gives_it_time_first() {
+    let mut fleet = Fleet::new();
+    let dark = |n: u64, version: &str, seq: u64| Command::Report {
+        node: MemberId(n),
+        seq,
+        version: version.into(),
+        ready: false,
+    };
+    for n in 1..=4 {
+        fleet.says(dark(n, "v1", 2));
+    }
+    fleet.release("a", "v2");
+    let mut conductor = Conductor::new();
+    let takes = |now: u64, conductor: &mut Conductor, fleet: &mut Fleet| {
+        let commands = conductor.poll(now, Token(9), &fleet.state);
+        commands.into_iter().filter(|c| fleet.says(c.clone()) == Outcome::Done).count()
+    };
+    assert_eq!(takes(0, &mut conductor, &mut fleet), 0, "more are away than may be");
+    assert_eq!(takes(900, &mut conductor, &mut fleet), 0, "they may come back by themselves");
+    assert_eq!(takes(1_000, &mut conductor, &mut fleet), 1, "the canary");
+    let (node, slot) = (MemberId(1), fleet.slot(1));
+    fleet.says(Command::Begin { node, slot });
+    fleet.says(Command::Finished { node, slot, health: Default::default() });
+    fleet.report(1, 3, "v2");
+    assert_eq!(takes(1_300, &mut conductor, &mut fleet), 2, "steps within the budget of two");
+    assert_eq!(takes(1_600, &mut conductor, &mut fleet), 0);
+}
