Recovery from a power loss: the order of return and what is trusted, a crate of its own

Cause: if each front node serves as soon as it is up, the first ones send all they hold to index servers that have just started.

Change: crates/recovery, no I/O and no clock: a majority says after each election how it stands; one that serves, and all go on; none, and the fleet returns by lists first, then waves that double, under the release lease's token and not under a halt. Decisions only: members carry it out in the next step.

--- /dev/null
+++ b/crates/recovery/src/guide.rs
@@ -0,0 +1,46 @@
+//! The holder of the release lease: when the next stage of a return may open.
+
+use crate::state::{Command, Recovery, Stage};
+use pinetrestle_fleet::Token;
+
+/// Milliseconds between two proposals of the same step.
+const AGAIN_MS: u64 = 250;
+
+/// What one guide remembers; one that takes over counts the stage's time from when it first sees it.
+#[derive(Debug, Default, Clone)]
+pub struct Guide {
+    seen: Option<(Token, u64, Stage, u64)>,
+    asked: Option<u64>,
+}
+
+impl Guide {
+    /// One that has seen nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The step to propose at `now_ms` of this process's monotonic clock, under `token`. Each wave lasts `warm_ms` at
+    /// least, and no stage opens under a halt.
+    pub fn poll(
+        &mut self,
+        now_ms: u64,
+        token: Token,
+        state: &Recovery,
+        halted: bool,
+        warm_ms: u64,
+    ) -> Option<Command> {
+        let here = (state.epoch(), state.stage());
+        match self.seen {
+            Some((t, epoch, stage, _)) if t == token && (epoch, stage) == here => {}
+            _ => (self.seen, self.asked) = (Some((token, here.0, here.1, now_ms)), None),
+        }
+        let since = self.seen.map_or(now_ms, |seen| seen.3);
+        let wait = if matches!(state.stage(), Stage::Waves(_)) { warm_ms } else { 0 };
+        let due = !halted && state.may_advance() && now_ms >= since + wait;
+        if !due || self.asked.is_some_and(|at| now_ms < at + AGAIN_MS) {
+            return None;
+        }
+        self.asked = Some(now_ms);
+        Some(Command::Advance { token, epoch: here.0, from: here.1 })
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/state.rs
@@ -0,0 +1,233 @@
+//! The replicated part: every member applies the same commands in the log's order.
+
+use pinetrestle_fleet::{MemberId, Token, MAX_MEMBERS};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// One command of the replicated log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// A leader was elected and counts anew who is there.
+    Elected {
+        /// Its term: an older one changes nothing.
+        term: u64,
+        /// The members of the fleet, as its file has them.
+        members: Vec<MemberId>,
+    },
+    /// A member says how it stands, once after each election and whenever that changes.
+    Present {
+        /// The member.
+        node: MemberId,
+        /// Its start, counted on its disk.
+        boot: u64,
+        /// The term it answers: said only while the log's own term is the one this member is in, so that a word from
+        /// before a power loss can't let in a start after it.
+        term: u64,
+        /// Whether its front node runs.
+        serving: bool,
+        /// Whether it has discovery's list.
+        listed: bool,
+    },
+    /// The next stage opens (guide).
+    Advance {
+        /// The release lease's token.
+        token: Token,
+        /// The fleet's epoch it is about.
+        epoch: u64,
+        /// The stage it leaves.
+        from: Stage,
+    },
+}
+
+/// Where the fleet stands.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stage {
+    /// Who is there is not known yet.
+    #[default]
+    Counting,
+    /// Nothing serves: lists first.
+    Lists,
+    /// So many front nodes are let in.
+    Waves(u32),
+    /// Everybody is let in.
+    Normal,
+}
+
+/// How a member said it stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Presence {
+    /// Its start.
+    pub boot: u64,
+    /// Whether its front node runs.
+    pub serving: bool,
+    /// Whether it has discovery's list.
+    pub listed: bool,
+}
+
+/// What a command did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It took effect.
+    Done,
+    /// It is from the past, or not for now: nothing changed.
+    Ignored,
+}
+
+/// The replicated state. Serializable whole, as a snapshot.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Recovery {
+    members: Vec<MemberId>,
+    /// Counts the power losses the fleet came back from.
+    epoch: u64,
+    stage: Stage,
+    term: u64,
+    present: BTreeMap<MemberId, Presence>,
+    /// In the order in which they said that they are there: the order in which they are let in.
+    order: Vec<MemberId>,
+    /// Let in at this boot of theirs: not shut out again while it lasts.
+    let_in: BTreeMap<MemberId, u64>,
+}
+
+impl Recovery {
+    /// A fleet of which nothing is known.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The power losses the fleet came back from, the one it comes back from included.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Where the fleet stands.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// The term that counts.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Who has said how it stands since the last election.
+    pub fn present(&self) -> &BTreeMap<MemberId, Presence> {
+        &self.present
+    }
+
+    /// Members of the fleet.
+    pub fn members(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether `node`, in its start `boot`, may let its front node in.
+    pub fn lets_in(&self, node: MemberId, boot: u64) -> bool {
+        if self.let_in.get(&node) == Some(&boot) {
+            return true;
+        }
+        // Only one whose present start the log knows: an older word says nothing of this one.
+        let known = self.present.get(&node).is_some_and(|p| p.boot == boot);
+        match self.stage {
+            Stage::Counting | Stage::Lists => known && self.present[&node].serving,
+            Stage::Waves(open) => known && self.opened(open).any(|n| n == node),
+            Stage::Normal => known,
+        }
+    }
+
+    /// The front nodes that a wave of `open` lets in: those let in already first, then as they said that they are there.
+    pub fn opened(&self, open: u32) -> impl Iterator<Item = MemberId> + '_ {
+        let inside = |n: &MemberId| self.stays(*n);
+        let first = self.order.iter().copied().filter(inside);
+        let then = self.order.iter().copied().filter(move |n| !inside(n));
+        first.chain(then).take(open as usize)
+    }
+
+    /// Whether `node` was let in in the start it has said.
+    fn stays(&self, node: MemberId) -> bool {
+        self.present.get(&node).is_some_and(|p| self.let_in.get(&node) == Some(&p.boot))
+    }
+
+    fn majority(&self, count: usize) -> bool {
+        2 * count > self.members.len()
+    }
+
+    /// Whether the stage's own condition for going on holds; the guide adds its time.
+    pub fn may_advance(&self) -> bool {
+        match self.stage {
+            Stage::Counting | Stage::Normal => false,
+            Stage::Lists => self.majority(self.present.values().filter(|p| p.listed).count()),
+            Stage::Waves(open) => self.opened(open).all(|n| self.present.get(&n).is_none_or(|p| p.serving)),
+        }
+    }
+
+    /// Applies a command. `lease` is the token of the release lease that stands there.
+    pub fn apply(&mut self, command: &Command, lease: Option<Token>) -> Outcome {
+        let outcome = match command {
+            Command::Elected { term, members } => self.elected(*term, members),
+            Command::Present { node, boot, term, serving, listed } => {
+                let presence = Presence { boot: *boot, serving: *serving, listed: *listed };
+                self.says(*node, *term, presence)
+            }
+            Command::Advance { token, epoch, from } if Some(*token) == lease => self.advance(*epoch, *from),
+            Command::Advance { .. } => Outcome::Ignored,
+        };
+        self.remember();
+        outcome
+    }
+
+    fn elected(&mut self, term: u64, members: &[MemberId]) -> Outcome {
+        if term <= self.term || members.is_empty() || members.len() > MAX_MEMBERS {
+            return Outcome::Ignored;
+        }
+        self.term = term;
+        self.members = members.to_vec();
+        self.present.clear();
+        self.order.clear();
+        self.let_in.retain(|node, _| members.contains(node));
+        // A return that a change of leader interrupts is counted anew: those let in by then serve, or it was dark again.
+        self.stage = Stage::Counting;
+        Outcome::Done
+    }
+
+    fn says(&mut self, node: MemberId, term: u64, presence: Presence) -> Outcome {
+        let older = self.present.get(&node).is_some_and(|p| p.boot > presence.boot);
+        if term != self.term || older || !self.members.contains(&node) {
+            return Outcome::Ignored;
+        }
+        if self.present.insert(node, presence).is_none() {
+            self.order.push(node);
+        }
+        if self.stage == Stage::Counting && self.majority(self.present.len()) {
+            if self.present.values().any(|p| p.serving) {
+                self.stage = Stage::Normal;
+            } else {
+                self.epoch += 1;
+                self.stage = Stage::Lists;
+            }
+        }
+        Outcome::Done
+    }
+
+    fn advance(&mut self, epoch: u64, from: Stage) -> Outcome {
+        if epoch != self.epoch || from != self.stage || !self.may_advance() {
+            return Outcome::Ignored;
+        }
+        self.stage = match self.stage {
+            // A return begun before an election goes on from those it had let in.
+            Stage::Lists => Stage::Waves(self.order.iter().filter(|n| self.stays(**n)).count().max(1) as u32),
+            Stage::Waves(open) if (open as usize) * 2 < self.members.len() => Stage::Waves(open * 2),
+            _ => Stage::Normal,
+        };
+        Outcome::Done
+    }
+
+    /// Whoever may come in now may stay in for as long as its start lasts.
+    fn remember(&mut self) {
+        let now: Vec<(MemberId, u64)> = self
+            .present
+            .iter()
+            .filter(|(node, p)| self.lets_in(**node, p.boot))
+            .map(|(node, p)| (*node, p.boot))
+            .collect();
+        self.let_in.extend(now);
+    }
+}
