--- a/crates/member/src/config.rs
+++ b/crates/member/src/config.rs
@@ -90,6 +90,27 @@
     pub ramp_ms: u64,
 }
 
+/// The return from a power loss.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecoveryFile {
+    /// Front nodes come in by waves after a power loss; false: each as soon as it is up, as a baseline.
+    #[serde(default = "defaults::waves")]
+    pub waves: bool,
+    /// Milliseconds a wave lasts at least, for index servers to warm up.
+    #[serde(default = "defaults::warm_ms")]
+    pub warm_ms: u64,
+    /// Milliseconds without a leader after which a front node is let in by itself, with its careful settings.
+    #[serde(default = "defaults::alone_ms")]
+    pub alone_ms: u64,
+}
+
+impl Default for RecoveryFile {
+    fn default() -> Self {
+        Self { waves: defaults::waves(), warm_ms: defaults::warm_ms(), alone_ms: defaults::alone_ms() }
+    }
+}
+
 /// How to start one version of the front node.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -102,6 +123,9 @@
     /// Variables added to its environment, as `RELAY_CONFIG`.
     #[serde(default)]
     pub env: BTreeMap<String, String>,
+    /// Variables set besides in safe mode, as a `RELAY_CONFIG` with a lower `most_held`.
+    #[serde(default)]
+    pub safe_env: BTreeMap<String, String>,
 }
 
 /// The list of index servers as this member's front node is told it: discovery's, and the fleet's drains over it.
@@ -178,12 +202,24 @@
     /// Drains and releases; none: this member takes part in leases only.
     #[serde(default)]
     pub rollout: Option<RolloutFile>,
+    /// The return from a power loss; it needs `rollout`.
+    #[serde(default)]
+    pub recovery: RecoveryFile,
     /// This member's own front node; none: it runs none.
     #[serde(default)]
     pub front: Option<FrontFile>,
 }
 
 mod defaults {
+    pub fn waves() -> bool {
+        true
+    }
+    pub fn warm_ms() -> u64 {
+        2_000
+    }
+    pub fn alone_ms() -> u64 {
+        30_000
+    }
     pub fn share() -> f64 {
         1.0
     }
@@ -309,6 +345,13 @@
                 format!("write at least {}", 4 * file.settle_ms.max(1_000)),
             ));
         }
+        if self.recovery.alone_ms < 4 * self.election_ms() {
+            return Err(Wrong::new(
+                "recovery.alone_ms",
+                "is under four election times: a change of leader would look like no fleet",
+                format!("write at least {}", 4 * self.election_ms()),
+            ));
+        }
         if let Some(front) = &self.front {
             front.check()?;
         }
--- a/crates/member/src/front.rs
+++ b/crates/member/src/front.rs
@@ -37,6 +37,8 @@
     pub lists: u64,
     /// Its process, 0 if none.
     pub pid: u32,
+    /// Whether anybody has looked yet.
+    pub looked: bool,
 }
 
 /// A process that is the front node, with its version.
@@ -85,7 +87,7 @@
                 },
                 _ = ticks.tick() => {}
             }
-            let look = self.look().await;
+            let look = Look { looked: true, ..self.look().await };
             self.last = look.clone();
             looks.send_replace(look);
         }
@@ -93,32 +95,35 @@
 
     fn carry(&mut self, act: Act) {
         match act {
-            Act::Start(version) => {
-                if self.process.is_some() {
-                    return;
-                }
-                let Some(launch) = self.file.versions.get(&version).cloned() else { return };
-                match self.start(&launch, &version) {
-                    Ok(child) => {
-                        info!(self.log, "front node started"; "pid" => child.id(), "version" => &version);
-                        self.process =
-                            Some(Process { pid: child.id(), version, child: Some(child), ending: false });
-                    }
-                    Err(error) => {
-                        warn!(self.log, "front node not started"; "version" => version, "error" => %error);
-                    }
-                }
-            }
+            Act::Start(version) => self.begin(version, false),
+            Act::StartSafe(version) => self.begin(version, true),
             Act::Stop => self.signal(rustix::process::Signal::TERM, "SIGTERM"),
             Act::Kill => self.signal(rustix::process::Signal::KILL, "SIGKILL"),
         }
     }
 
-    fn start(&self, launch: &LaunchFile, version: &str) -> std::io::Result<Child> {
+    fn begin(&mut self, version: String, safe: bool) {
+        if self.process.is_some() {
+            return;
+        }
+        let Some(launch) = self.file.versions.get(&version).cloned() else { return };
+        match self.start(&launch, &version, safe) {
+            Ok(child) => {
+                info!(self.log, "front node started"; "pid" => child.id(), "version" => &version, "safe" => safe);
+                self.process = Some(Process { pid: child.id(), version, child: Some(child), ending: false });
+            }
+            Err(error) => {
+                warn!(self.log, "front node not started"; "version" => version, "error" => %error);
+            }
+        }
+    }
+
+    fn start(&self, launch: &LaunchFile, version: &str, safe: bool) -> std::io::Result<Child> {
         let out = std::fs::OpenOptions::new().create(true).append(true).open(&self.out)?;
         Command::new(&launch.program)
             .args(&launch.args)
             .envs(&launch.env)
+            .envs(safe.then_some(&launch.safe_env).into_iter().flatten())
             .env(MARK, format!("{}{version}", self.mark))
             .stdin(Stdio::null())
             .stdout(out.try_clone()?)
@@ -157,7 +162,7 @@
         let (pid, version) = (process.pid, process.version.clone());
         if process.ending {
             let seen = Seen { running: Some(version), ready: false, counts: self.last.seen.counts };
-            return Look { seen, lists: self.last.lists, pid };
+            return Look { seen, lists: self.last.lists, pid, looked: true };
         }
         let (ready, counted) =
             tokio::join!(get(self.file.listen, "/health/ready"), get(self.file.listen, "/stats"));
@@ -178,7 +183,7 @@
             None if same => (self.last.seen.counts, self.last.lists),
             None => Default::default(),
         };
-        Look { seen: Seen { running: Some(version), ready, counts }, lists, pid }
+        Look { seen: Seen { running: Some(version), ready, counts }, lists, pid, looked: true }
     }
 }
 
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -5,7 +5,7 @@
 use crate::config::FleetFile;
 use crate::raftstore::Durable;
 use crate::replica::{Decided, Entry as Logged, Replica};
-use crate::rollout::{reason, Part};
+use crate::rollout::{reason, Part, RaftView};
 use crate::wire::{self, Action, LeaseView, MineView, Reply, Status};
 use pinetrestle_fleet::{Command, Expiry, Holder, HolderState, MemberId, Outcome, RequestId, Task, Token};
 use pinetrestle_rollout::{Act, RELEASE_TASK};
@@ -161,9 +161,12 @@
         self.act(now, out);
         if self.part.takes_part() {
             let token = self.holders.get_mut(&Task(RELEASE_TASK.to_owned())).and_then(|h| h.may_act(now));
-            let (commands, act) = self.part.tick(now, &self.replica, token);
-            for command in commands {
-                self.propose(&Logged::Rollout(command));
+            let raft = &self.raw.raft;
+            let leads = raft.state == StateRole::Leader;
+            let raft = RaftView { term: raft.term, leader: raft.leader_id != raft::INVALID_ID, leads };
+            let (entries, act) = self.part.tick(now, &self.replica, token, raft);
+            for entry in entries {
+                self.propose(&entry);
             }
             out.act = act;
         }
@@ -252,6 +255,7 @@
             leases,
             mine,
             rollout: self.part.status(&self.replica.rollout),
+            recovery: self.part.recovery_status(&self.replica.recovery),
         }
     }
 
@@ -361,7 +365,7 @@
             };
             let before = match &logged {
                 Logged::Lease(command) => self.replica.leases.lease(command.task()).cloned(),
-                Logged::Rollout(_) => None,
+                Logged::Rollout(_) | Logged::Recovery(_) => None,
             };
             match (&logged, self.replica.apply(entry.index, &logged)) {
                 (Logged::Lease(command), Decided::Lease(outcome)) => {
@@ -371,6 +375,11 @@
                 (Logged::Rollout(command), Decided::Rollout(outcome)) => {
                     self.note_rollout(entry.index, command, &outcome);
                 }
+                (Logged::Recovery(command), Decided::Recovery(pinetrestle_recovery::Outcome::Done)) => {
+                    let (stage, epoch) = (self.replica.recovery.stage(), self.replica.recovery.epoch());
+                    info!(self.log, "recovery"; "index" => entry.index, "command" => ?command,
+                        "stage" => ?stage, "epoch" => epoch);
+                }
                 _ => {}
             }
         }
--- a/crates/member/src/replica.rs
+++ b/crates/member/src/replica.rs
@@ -2,6 +2,7 @@
 //! log's order.
 
 use pinetrestle_fleet::{Command, LeaseTable, Outcome, Task, Token};
+use pinetrestle_recovery::Recovery;
 use pinetrestle_rollout::{Rollout, RELEASE_TASK};
 use serde::{Deserialize, Serialize};
 
@@ -12,6 +13,8 @@
     Lease(Command),
     /// About drains and releases.
     Rollout(pinetrestle_rollout::Command),
+    /// About the fleet's return from a power loss.
+    Recovery(pinetrestle_recovery::Command),
 }
 
 /// What an entry decided.
@@ -21,6 +24,8 @@
     Lease(Outcome),
     /// About drains and releases.
     Rollout(pinetrestle_rollout::Outcome),
+    /// About the fleet's return.
+    Recovery(pinetrestle_recovery::Outcome),
 }
 
 /// The whole state. Serializable, as a snapshot.
@@ -30,12 +35,16 @@
     pub leases: LeaseTable,
     /// What is away, what is on its way.
     pub rollout: Rollout,
+    /// Whether the fleet was dark, who may come in.
+    pub recovery: Recovery,
+    /// The index of the last entry applied.
+    applied: u64,
 }
 
 impl Replica {
     /// The index of the last entry applied.
     pub fn applied(&self) -> u64 {
-        self.leases.applied().max(self.rollout.applied())
+        self.applied
     }
 
     /// The token of the release lease, which entries of drains and releases are compared with.
@@ -45,12 +54,17 @@
 
     /// Applies the entry at log `index`, above every index applied before.
     pub fn apply(&mut self, index: u64, entry: &Entry) -> Decided {
+        self.applied = index;
         match entry {
             Entry::Lease(command) => Decided::Lease(self.leases.apply(index, command)),
             Entry::Rollout(command) => {
                 let token = self.release_token();
                 Decided::Rollout(self.rollout.apply(index, command, token))
             }
+            Entry::Recovery(command) => {
+                let token = self.release_token();
+                Decided::Recovery(self.recovery.apply(command, token))
+            }
         }
     }
 }
--- a/crates/member/src/rollout.rs
+++ b/crates/member/src/rollout.rs
@@ -1,14 +1,15 @@
 //! A member's part in drains and releases: it feeds the decisions of `pinetrestle-rollout` and hands on what they say.
 //! Nothing here blocks, and nothing is decided here.
 
-use crate::config::FleetFile;
+use crate::config::{FleetFile, RecoveryFile};
 use crate::front::Look;
 use crate::relay::{Listed, View};
-use crate::replica::Replica;
-use crate::wire::{NodeView, ReleaseView, Reply, RolloutView, ServerView};
+use crate::replica::{Entry, Replica};
+use crate::wire::{NodeView, RecoveryView, ReleaseView, Reply, RolloutView, ServerView};
 use pinetrestle_fleet::{MemberId, Token};
+use pinetrestle_recovery::{Gate, Guide, Recovery, Verdict};
 use pinetrestle_rollout::{
-    Act, Agent, Command, Conductor, Kind, Outcome, Phase, Plan, Rollout, Stage, Step, Watcher,
+    Act, Agent, Command, Conductor, Entrance, Kind, Outcome, Phase, Plan, Rollout, Stage, Step, Watcher,
 };
 use std::collections::BTreeMap;
 use tokio::sync::oneshot;
@@ -29,6 +30,17 @@
     asked: Option<u64>,
 }
 
+/// What Raft says of this member now.
+#[derive(Debug, Clone, Copy)]
+pub struct RaftView {
+    /// Its term.
+    pub term: u64,
+    /// Whether a leader is known.
+    pub leader: bool,
+    /// Whether it leads.
+    pub leads: bool,
+}
+
 /// One member's part.
 pub struct Part {
     me: MemberId,
@@ -37,6 +49,14 @@
     agent: Option<Agent>,
     conductor: Conductor,
     watcher: Option<Watcher>,
+    boot: u64,
+    recovery: RecoveryFile,
+    gate: Gate,
+    guide: Guide,
+    verdict: Verdict,
+    relayed: bool,
+    elected_at: Option<u64>,
+    present_at: Option<u64>,
     pending: BTreeMap<String, Pending>,
     told_at: BTreeMap<String, u64>,
     observed_at: u64,
@@ -63,6 +83,14 @@
             agent,
             conductor: Conductor::new(),
             watcher: None,
+            boot,
+            recovery: file.recovery.clone(),
+            gate: Gate::new(me, boot, file.recovery.alone_ms),
+            guide: Guide::new(),
+            verdict: Verdict::Wait("it has just started"),
+            relayed: file.front.as_ref().is_some_and(|f| f.relay.is_some()),
+            elected_at: None,
+            present_at: None,
             pending: BTreeMap::new(),
             told_at: BTreeMap::new(),
             observed_at: 0,
@@ -107,8 +135,15 @@
 
     /// What to propose at `now`, and what the front node's driver has to do. `token` is the release lease's, if this
     /// member may act on it.
-    pub fn tick(&mut self, now: u64, replica: &Replica, token: Option<Token>) -> (Vec<Command>, Option<Act>) {
+    pub fn tick(
+        &mut self,
+        now: u64,
+        replica: &Replica,
+        token: Option<Token>,
+        raft: RaftView,
+    ) -> (Vec<Entry>, Option<Act>) {
         let state = &replica.rollout;
+        let returns = self.recover(now, replica, token, raft);
         let mut commands = self.answer_pending(now, state);
         let mut act = None;
         if let Some(token) = token {
@@ -119,12 +154,77 @@
             commands.extend(self.lead(now, state));
         }
         if let Some(agent) = &mut self.agent {
-            let (says, does) = agent.poll(now, &self.look.seen, state);
+            let entrance = match (&self.verdict, self.recovery.waves) {
+                (Verdict::In, _) | (_, false) => Entrance::Open,
+                (Verdict::Safe, _) => Entrance::Safe,
+                (Verdict::Wait(_), _) => Entrance::Closed,
+            };
+            let (says, does) = agent.poll(now, &self.look.seen, state, entrance);
             commands.extend(says);
             act = does;
         }
         commands.extend(self.told_now(now, state));
-        (commands, act)
+        let entries = commands.into_iter().map(Entry::Rollout);
+        (entries.chain(returns.into_iter().map(Entry::Recovery)).collect(), act)
+    }
+
+    /// This member's part in the fleet's return from a power loss.
+    fn recover(
+        &mut self,
+        now: u64,
+        replica: &Replica,
+        token: Option<Token>,
+        raft: RaftView,
+    ) -> Vec<pinetrestle_recovery::Command> {
+        use pinetrestle_recovery::Command as Return;
+        let state = &replica.recovery;
+        let mut commands = Vec::new();
+        if raft.leads && state.term() < raft.term && self.elected_at.is_none_or(|at| now >= at + AGAIN_MS) {
+            self.elected_at = Some(now);
+            let members = self.plan.iter().flat_map(|p| p.nodes.keys().copied()).collect();
+            commands.push(Return::Elected { term: raft.term, members });
+        }
+        let serving = self.look.seen.running.is_some() && self.look.seen.ready;
+        let listed = !self.relayed || self.listed.is_some();
+        let said = state.present().get(&self.me);
+        let news = said.is_none_or(|p| (p.boot, p.serving, p.listed) != (self.boot, serving, listed));
+        // Only while the log's term is the one this member is in: see `Present`. What runs is known from the first
+        // look on.
+        let current = raft.leader && state.term() == raft.term;
+        let due = current && news && (self.look.looked || self.agent.is_none());
+        if due && self.present_at.is_none_or(|at| now >= at + AGAIN_MS) {
+            self.present_at = Some(now);
+            let (node, boot, term) = (self.me, self.boot, raft.term);
+            commands.push(Return::Present { node, boot, term, serving, listed });
+        }
+        if let Some(token) = token {
+            let halted = replica.rollout.halted().is_some();
+            commands.extend(self.guide.poll(now, token, state, halted, self.recovery.warm_ms));
+        }
+        let runs = self.look.seen.running.is_some();
+        self.verdict = self.gate.poll(now, raft.leader, runs, state);
+        commands
+    }
+
+    /// The fleet's return, for people.
+    pub fn recovery_status(&self, state: &Recovery) -> Option<RecoveryView> {
+        self.plan.as_ref()?;
+        Some(RecoveryView {
+            epoch: state.epoch(),
+            stage: match state.stage() {
+                pinetrestle_recovery::Stage::Counting => "counting who is there".to_owned(),
+                pinetrestle_recovery::Stage::Lists => "lists first".to_owned(),
+                pinetrestle_recovery::Stage::Waves(open) => format!("waves, {open} let in"),
+                pinetrestle_recovery::Stage::Normal => "normal".to_owned(),
+            },
+            present: state.present().iter().map(|(n, p)| (n.0, p.serving, p.listed)).collect(),
+            members: state.members() as u32,
+            gate: match &self.verdict {
+                Verdict::In => "let in".to_owned(),
+                Verdict::Safe => "safe mode: no leader is known, careful settings".to_owned(),
+                Verdict::Wait(why) => format!("waits: {why}"),
+            },
+        })
     }
 
     fn answer_pending(&mut self, now: u64, state: &Rollout) -> Vec<Command> {
--- a/crates/member/src/wire.rs
+++ b/crates/member/src/wire.rs
@@ -82,6 +82,23 @@
     pub mine: Vec<MineView>,
     /// Drains and releases, where a plan is agreed.
     pub rollout: Option<RolloutView>,
+    /// The fleet's return from a power loss, where this member takes part in releases.
+    pub recovery: Option<RecoveryView>,
+}
+
+/// The fleet's return from a power loss as this member has applied it.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct RecoveryView {
+    /// Power losses the fleet came back from.
+    pub epoch: u64,
+    /// Counting, lists, waves or normal, in words.
+    pub stage: String,
+    /// Members that have said how they stand since the last election: whether each serves and has a list.
+    pub present: Vec<(u64, bool, bool)>,
+    /// Members of the fleet.
+    pub members: u32,
+    /// What this member's gate says of its front node.
+    pub gate: String,
 }
 
 /// Drains and releases as this member has applied them.
--- a/crates/member/tests/common/fleet.rs
+++ b/crates/member/tests/common/fleet.rs
@@ -20,6 +20,8 @@
     /// Fault proxies between the members; without, they talk directly.
     pub mesh: bool,
     pub tick_ms: u64,
+    /// Front nodes come back by waves, each so many milliseconds at least; none: each as soon as it is up.
+    pub wave_ms: Option<u64>,
     /// The first port it may use.
     pub base: u64,
     pub seed: u64,
@@ -42,7 +44,8 @@
 
 impl Fleet {
     pub async fn start(dir: &Path, setup: Setup) -> Fleet {
-        let Setup { members, budget, mesh, tick_ms, base, seed } = setup;
+        let Setup { members, budget, mesh, tick_ms, wave_ms, base, seed } = setup;
+        let (waves, warm_ms) = (wave_ms.is_some(), wave_ms.unwrap_or(0));
         let servers: Vec<Server> = (0..6).map(|_| Server::start(Doing::Serving)).collect();
         let discovery = Discovery::start(entries(&servers));
         let held = ports(base, 3 * members as usize);
@@ -74,6 +77,7 @@
             let text = format!(
                 "{{ id: {id}, {}, data_dir: \"{}\", tick_ms: {tick_ms}, election_ticks: 10, heartbeat_ticks: 2,\n\
                  lease_ms: {}, snapshot_every: 100,\n\
+                 recovery: {{ waves: {waves}, warm_ms: {warm_ms}, alone_ms: 8000 }},\n\
                  rollout: {{ revision: 1, nodes: {{ most: {budget} }}, servers: {{ most: 1 }}, canary: 1, failures: 1,\n\
                  step_ms: 8000, settle_ms: 300, lost_ms: {}, ramp_stages: 2, ramp_ms: 500 }},\n\
                  front: {{ listen: \"{}\", version: \"v1\", stop_ms: 4000, start_ms: 4000, look_ms: 40,\n\
--- a/crates/member/tests/common/front.rs
+++ b/crates/member/tests/common/front.rs
@@ -169,6 +169,22 @@
         self.shared.lock().unwrap().nowhere
     }
 
+    /// When how many front nodes were ready, from a moment on.
+    pub fn ready_counts(&self, from_us: u64) -> Vec<(u64, usize)> {
+        let shared = self.shared.lock().unwrap();
+        let (mut ready, mut counts) = (std::collections::BTreeSet::new(), Vec::new());
+        for (at, node, health) in &shared.changes {
+            match health {
+                Health::Ready => ready.insert(*node),
+                Health::Away => ready.remove(node),
+            };
+            if *at >= from_us {
+                counts.push((*at, ready.len()));
+            }
+        }
+        counts
+    }
+
     /// Most front nodes away at once since `from_us`, at which all were ready.
     pub fn most_away(&self, from_us: u64) -> usize {
         let shared = self.shared.lock().unwrap();
--- a/crates/member/tests/measure.rs
+++ b/crates/member/tests/measure.rs
@@ -16,8 +16,8 @@
 async fn roll(members: u64, budget: usize) {
     let dir = tempfile::tempdir().unwrap();
     let base = 16_000 + (u64::from(std::process::id()) % 20) * 200;
-    let setup =
-        Setup { members, budget, mesh: false, tick_ms: if members > 10 { 50 } else { 20 }, base, seed: 1 };
+    let tick_ms = if members > 10 { 50 } else { 20 };
+    let setup = Setup { members, budget, mesh: false, tick_ms, wave_ms: Some(200), base, seed: 1 };
     let fleet = Fleet::start(dir.path(), setup).await;
     let mut load = Load::start(&fleet.fronts, 4, Duration::from_millis(10));
     fleet
--- a/crates/member/tests/seven.rs
+++ b/crates/member/tests/seven.rs
@@ -26,7 +26,7 @@
 
 fn setup(seed: u64, budget: usize) -> Setup {
     let base = 16_000 + (u64::from(std::process::id()) % 20) * 200 + (seed % 8) * 24;
-    Setup { members: MEMBERS, budget, mesh: true, tick_ms: 20, base, seed }
+    Setup { members: MEMBERS, budget, mesh: true, tick_ms: 20, wave_ms: Some(200), base, seed }
 }
 
 #[derive(Debug, Default, serde::Serialize)]
--- a/crates/rollout/src/agent.rs
+++ b/crates/rollout/src/agent.rs
@@ -16,11 +16,24 @@
     pub counts: Health,
 }
 
+/// Whether a front node that does not run may be started now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Entrance {
+    /// As ever.
+    Open,
+    /// Not yet.
+    Closed,
+    /// With the careful settings: there is no fleet to ask.
+    Safe,
+}
+
 /// What the agent's driver has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Act {
     /// Start the front node with this version.
     Start(String),
+    /// The same with its careful settings.
+    StartSafe(String),
     /// Ask it to end in order: it answers what it took.
     Stop,
     /// End it without a word: it did not end in order in time.
@@ -135,8 +148,15 @@
         }
     }
 
-    /// Commands to propose and what to do with the front node at `now_ms`.
-    pub fn poll(&mut self, now_ms: u64, seen: &Seen, state: &Rollout) -> (Vec<Command>, Option<Act>) {
+    /// Commands to propose and what to do with the front node at `now_ms`. `entrance` says whether one that does not run
+    /// may be started; steps go on whatever it says.
+    pub fn poll(
+        &mut self,
+        now_ms: u64,
+        seen: &Seen,
+        state: &Rollout,
+        entrance: Entrance,
+    ) -> (Vec<Command>, Option<Act>) {
         let gap = now_ms.saturating_sub(self.last_now.unwrap_or(now_ms));
         self.at_work += gap.min(MOST_GAP_MS);
         self.last_now = Some(now_ms);
@@ -152,7 +172,7 @@
             want: seen.running.clone().or(last).unwrap_or_else(|| self.first.clone()),
         });
         let (mode, act) = match mode {
-            Mode::Steady { want } => self.steady(now_ms, seen, want, slot, state, &mut commands),
+            Mode::Steady { want } => self.steady(now_ms, seen, want, slot, state, entrance, &mut commands),
             Mode::Step { slot: mine, phase, .. } if slot.as_ref().is_none_or(|s| s.index != mine.index) => {
                 // The state has our word, and the version that goes with it is the one to keep.
                 let want = if matches!(phase, Phase::Settling(_)) { mine.goal } else { mine.leaves };
@@ -167,6 +187,7 @@
         (commands, act)
     }
 
+    #[allow(clippy::too_many_arguments)]
     fn steady(
         &mut self,
         now: u64,
@@ -174,6 +195,7 @@
         want: String,
         slot: Option<Slot>,
         state: &Rollout,
+        entrance: Entrance,
         commands: &mut Vec<Command>,
     ) -> (Mode, Option<Act>) {
         if let Some(slot) = slot {
@@ -198,7 +220,11 @@
         }
         let act = match &seen.running {
             Some(_) => None,
-            None => self.start(now, &want),
+            None => match entrance {
+                Entrance::Open => self.start(now, &want),
+                Entrance::Safe => self.start(now, &want).map(|_| Act::StartSafe(want.clone())),
+                Entrance::Closed => None,
+            },
         };
         (Mode::Steady { want }, act)
     }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -31,7 +31,7 @@
 mod types;
 mod watcher;
 
-pub use agent::{Act, Agent, Seen};
+pub use agent::{Act, Agent, Entrance, Seen};
 pub use budget::{Budget, Over};
 pub use conductor::Conductor;
 pub use servers::{Phase, ServerState};
--- a/crates/rollout/tests/random.rs
+++ b/crates/rollout/tests/random.rs
@@ -6,7 +6,8 @@
 
 use pinetrestle_fleet::{MemberId, Token};
 use pinetrestle_rollout::{
-    Act, Agent, Budget, Command, Conductor, Health, NodePlan, Outcome, Plan, Rollout, Seen, Stage, Step,
+    Act, Agent, Budget, Command, Conductor, Entrance, Health, NodePlan, Outcome, Plan, Rollout, Seen, Stage,
+    Step,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -285,7 +286,7 @@
         }
         let process = &member.process;
         let seen = Seen { running: process.running.clone(), ready: process.ready, counts: process.counts };
-        let (commands, act) = member.agent.poll(now, &seen, &member.view);
+        let (commands, act) = member.agent.poll(now, &seen, &member.view, Entrance::Open);
         self.flying.extend(commands);
         match act {
             Some(Act::Start(version)) => {
@@ -309,7 +310,7 @@
             Some(Act::Kill) => {
                 member.process = Process { stopped_by_agent: true, ..Process::default() };
             }
-            None => {}
+            Some(Act::StartSafe(_)) | None => {}
         }
     }
 
--- a/crates/rollout/tests/words.rs
+++ b/crates/rollout/tests/words.rs
@@ -2,8 +2,8 @@
 
 use pinetrestle_fleet::{MemberId, Token};
 use pinetrestle_rollout::{
-    Act, Agent, Budget, Command, Conductor, NodePlan, Outcome, Phase, Plan, Refusal, Rollout, Seen, Stage,
-    Step, Watcher,
+    Act, Agent, Budget, Command, Conductor, Entrance, NodePlan, Outcome, Phase, Plan, Refusal, Rollout, Seen,
+    Stage, Step, Watcher,
 };
 
 const LEASE: Option<Token> = Some(Token(9));
@@ -273,13 +273,13 @@
         ready: running.is_some(),
         ..Seen::default()
     };
-    assert_eq!(agent.poll(0, &seen(Some("v1")), &fleet.state).1, Some(Act::Stop));
-    assert_eq!(agent.poll(10, &seen(None), &fleet.state).1, Some(Act::Start("v2".into())));
-    agent.poll(100, &seen(Some("v2")), &fleet.state);
-    let (said, _) = agent.poll(300, &seen(Some("v2")), &fleet.state);
+    assert_eq!(agent.poll(0, &seen(Some("v1")), &fleet.state, Entrance::Open).1, Some(Act::Stop));
+    assert_eq!(agent.poll(10, &seen(None), &fleet.state, Entrance::Open).1, Some(Act::Start("v2".into())));
+    agent.poll(100, &seen(Some("v2")), &fleet.state, Entrance::Open);
+    let (said, _) = agent.poll(300, &seen(Some("v2")), &fleet.state, Entrance::Open);
     assert!(said.iter().any(|c| matches!(c, Command::Finished { .. })), "{said:?}");
     // It ends before the word is known to be in the log: the word may be in, so the goal it is.
-    let (_, act) = agent.poll(550, &seen(None), &fleet.state);
+    let (_, act) = agent.poll(550, &seen(None), &fleet.state, Entrance::Open);
     assert_eq!(act, Some(Act::Start("v2".into())));
 }
 
