A wave does not wait for ever for a front node that does not come up; fleet recover

Cause: tried by hand with a front node that never serves: 'waves, 1 let in' for good, the whole fleet kept out by its first one.

Change: after ten times the wave (ten seconds at least) the guide opens the next.

--- a/crates/member/src/cli.rs
+++ b/crates/member/src/cli.rs
@@ -6,7 +6,7 @@
 use crate::config::FleetFile;
 use crate::member::Member;
 use crate::net;
-use crate::wire::{Ask, Reply};
+use crate::wire::{Ask, Reply, Status};
 use clap::{Args, Parser, Subcommand};
 use pinetrestle_rollout::{Command, Outcome};
 use std::net::SocketAddr;
@@ -47,6 +47,8 @@
     Status(Target),
     /// Says why each task is held where it is, or why it waits.
     Explain(Target),
+    /// Shows where the fleet's return from a power loss stands, and why this member's front node waits.
+    Recover(Target),
     /// Lets a member ask for a task, or give it back.
     #[command(subcommand)]
     Lease(Lease),
@@ -181,13 +183,14 @@
             Ok(_) => ExitCode::SUCCESS,
             Err(code) => code,
         },
-        Fleet::Status(target) => command(&target, Ask::Status, None).await,
-        Fleet::Explain(target) => command(&target, Ask::Status, Some(())).await,
+        Fleet::Status(target) => command(&target, Ask::Status, Showing::Table).await,
+        Fleet::Explain(target) => command(&target, Ask::Status, Showing::Sentences).await,
+        Fleet::Recover(target) => command(&target, Ask::Status, Showing::Recovery).await,
         Fleet::Lease(Lease::Acquire { task, target }) => {
-            command(&target, Ask::Want { task, want: true }, None).await
+            command(&target, Ask::Want { task, want: true }, Showing::Table).await
         }
         Fleet::Lease(Lease::Release { task, target }) => {
-            command(&target, Ask::Want { task, want: false }, None).await
+            command(&target, Ask::Want { task, want: false }, Showing::Table).await
         }
         Fleet::Release { version, order } => ordered(order, |id| Command::Release { id, to: version }).await,
         Fleet::Halt { why, order } => ordered(order, |id| Command::Halt { id, why }).await,
@@ -253,10 +256,36 @@
 /// Sends a command on drains and releases under its id, a new one unless it was given.
 async fn ordered(order: Order, make: impl FnOnce(String) -> Command) -> ExitCode {
     let id = order.id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
-    command(&order.target, Ask::Rollout(make(id)), None).await
+    command(&order.target, Ask::Rollout(make(id)), Showing::Table).await
 }
 
-async fn command(target: &Target, ask: Ask, explain: Option<()>) -> ExitCode {
+/// Writes a status as it was asked for.
+fn show(status: &Status, showing: Showing, json: bool) -> ExitCode {
+    match (showing, &status.recovery, json) {
+        (Showing::Recovery, None, _) => {
+            eprintln!("pinetrestle: this member takes no part in releases: its file has no rollout part");
+            return ExitCode::from(3);
+        }
+        (Showing::Recovery, Some(view), true) => {
+            println!("{}", serde_json::to_string_pretty(view).unwrap_or_default());
+        }
+        (Showing::Recovery, Some(view), false) => print!("{}", crate::show::recovery(status, view)),
+        (_, _, true) => println!("{}", serde_json::to_string_pretty(status).unwrap_or_default()),
+        (Showing::Sentences, ..) => print!("{}", crate::show::explain(status)),
+        (Showing::Table, ..) => print!("{}", crate::show::table(status)),
+    }
+    ExitCode::SUCCESS
+}
+
+/// How a status is shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Showing {
+    Table,
+    Sentences,
+    Recovery,
+}
+
+async fn command(target: &Target, ask: Ask, showing: Showing) -> ExitCode {
     let addr = match (target.at, &target.config) {
         (Some(addr), _) => addr,
         (None, Some(path)) => match read(path) {
@@ -276,18 +305,7 @@
         }
     };
     match reply {
-        Reply::Status(status) if target.json => {
-            println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default());
-            ExitCode::SUCCESS
-        }
-        Reply::Status(status) if explain.is_some() => {
-            print!("{}", crate::show::explain(&status));
-            ExitCode::SUCCESS
-        }
-        Reply::Status(status) => {
-            print!("{}", crate::show::table(&status));
-            ExitCode::SUCCESS
-        }
+        Reply::Status(status) => show(&status, showing, target.json),
         Reply::Wanted => {
             if target.json {
                 println!("{{\"taken\":true}}");
--- a/crates/member/src/show.rs
+++ b/crates/member/src/show.rs
@@ -1,6 +1,6 @@
 //! A member's status for people: a table, and sentences that explain.
 
-use crate::wire::{RolloutView, Status};
+use crate::wire::{RecoveryView, RolloutView, Status};
 use std::fmt::Write;
 
 /// The status as a table.
@@ -34,6 +34,43 @@
     if let Some(rollout) = &status.rollout {
         rollout_table(&mut out, rollout);
     }
+    if let Some(recovery) = &status.recovery {
+        let _ = writeln!(
+            out,
+            "\nfleet {}  power losses {}  said how they stand {} of {}  this front node {}",
+            recovery.stage,
+            recovery.epoch,
+            recovery.present.len(),
+            recovery.members,
+            recovery.gate
+        );
+    }
+    out
+}
+
+/// Where the fleet's return from a power loss stands, and why this member waits.
+pub fn recovery(status: &Status, view: &RecoveryView) -> String {
+    let mut out = String::new();
+    let _ = writeln!(
+        out,
+        "The fleet is at: {}. It came back from {} power losses, this one included.",
+        view.stage, view.epoch
+    );
+    let _ = writeln!(out, "The front node of member {}: {}.", status.id, view.gate);
+    for (id, serving, listed) in &view.present {
+        let serves = if *serving { "serves" } else { "does not serve" };
+        let list = if *listed { "has discovery's list" } else { "has no list yet" };
+        let _ = writeln!(out, "Member {id} {serves} and {list}.");
+    }
+    let silent: Vec<String> = status
+        .members
+        .iter()
+        .filter(|id| !view.present.iter().any(|(p, ..)| p == *id))
+        .map(u64::to_string)
+        .collect();
+    if !silent.is_empty() {
+        let _ = writeln!(out, "Not heard since the last election: {}.", silent.join(" "));
+    }
     out
 }
 
@@ -188,6 +225,9 @@
             lease.task, lease.holder, lease.token
         );
     }
+    if let Some(view) = status.recovery.as_ref().filter(|v| v.stage != "normal" || v.gate != "let in") {
+        out.push_str(&recovery(status, view));
+    }
     if let Some(rollout) = &status.rollout {
         explain_rollout(&mut out, rollout);
     }
--- a/crates/member/tests/config.rs
+++ b/crates/member/tests/config.rs
@@ -73,5 +73,8 @@
         let said = with(&rest).expect_err(&rest);
         assert!(said.contains(&format!("f.json5:{line}: {key}")), "{key}: {said}");
     }
+    let alone = format!("  rollout: {{ revision: 1, {budget} }},\n  recovery: {{ alone_ms: 900 }}");
+    let said = with(&alone).expect_err("too short");
+    assert!(said.contains("f.json5:6: recovery.alone_ms"), "{said}");
     assert!(with(&format!("  rollout: {{ revision: 1, {budget} }}")).is_ok());
 }
--- a/crates/recovery/src/guide.rs
+++ b/crates/recovery/src/guide.rs
@@ -6,6 +6,9 @@
 /// Milliseconds between two proposals of the same step.
 const AGAIN_MS: u64 = 250;
 
+/// Times of a wave (or of a second, if that is more) after which one that does not come up is waited for no longer.
+const PATIENCE: u64 = 10;
+
 /// What one guide remembers; one that takes over counts the stage's time from when it first sees it.
 #[derive(Debug, Default, Clone)]
 pub struct Guide {
@@ -20,7 +23,7 @@
     }
 
     /// The step to propose at `now_ms` of this process's monotonic clock, under `token`. Each wave lasts `warm_ms` at
-    /// least, and no stage opens under a halt.
+    /// least, ten times as long while one that it let in does not serve, and no stage opens under a halt.
     pub fn poll(
         &mut self,
         now_ms: u64,
@@ -35,7 +38,11 @@
             _ => (self.seen, self.asked) = (Some((token, here.0, here.1, now_ms)), None),
         }
         let since = self.seen.map_or(now_ms, |seen| seen.3);
-        let wait = if matches!(state.stage(), Stage::Waves(_)) { warm_ms } else { 0 };
+        let wait = match state.stage() {
+            Stage::Waves(_) if state.all_serve() => warm_ms,
+            Stage::Waves(_) => PATIENCE * warm_ms.max(1_000),
+            _ => 0,
+        };
         let due = !halted && state.may_advance() && now_ms >= since + wait;
         if !due || self.asked.is_some_and(|at| now_ms < at + AGAIN_MS) {
             return None;
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -16,7 +16,7 @@
 //! | --- | --- | --- |
 //! | [`Stage::Counting`] | whoever serves already | a majority has said since the election how it stands: one that serves makes it [`Stage::Normal`], none [`Stage::Lists`] |
 //! | [`Stage::Lists`] | nobody | a majority has discovery's list |
-//! | [`Stage::Waves`] | the first so many of those present | all of them serve or are gone, and index servers had `warm_ms` (on the guide's clock) |
+//! | [`Stage::Waves`] | the first so many of those present | all of them serve and index servers had `warm_ms` on the guide's clock; or ten times that |
 //! | [`Stage::Normal`] | everybody | an election counts anew |
 //!
 //! Waves double: 1, 2, 4 and so on of the front nodes. What a front node holds is bounded, so what index servers get
--- a/crates/recovery/src/state.rs
+++ b/crates/recovery/src/state.rs
@@ -84,7 +84,7 @@
     present: BTreeMap<MemberId, Presence>,
     /// In the order in which they said that they are there: the order in which they are let in.
     order: Vec<MemberId>,
-    /// Let in at this boot of theirs: not shut out again while it lasts.
+    /// Let in by a wave of the return that goes on, at this boot of theirs: not shut out again while it lasts.
     let_in: BTreeMap<MemberId, u64>,
 }
 
@@ -128,17 +128,21 @@
         let known = self.present.get(&node).is_some_and(|p| p.boot == boot);
         match self.stage {
             Stage::Counting | Stage::Lists => known && self.present[&node].serving,
-            Stage::Waves(open) => known && self.opened(open).any(|n| n == node),
+            Stage::Waves(open) => {
+                known && (self.present[&node].serving || self.opened(open).any(|n| n == node))
+            }
             Stage::Normal => known,
         }
     }
 
     /// The front nodes that a wave of `open` lets in: those let in already first, then as they said that they are there.
+    /// One that was let in before an election and has not said since how it stands may serve: it keeps its place.
     pub fn opened(&self, open: u32) -> impl Iterator<Item = MemberId> + '_ {
         let inside = |n: &MemberId| self.stays(*n);
+        let silent = self.let_in.keys().filter(|n| !self.present.contains_key(n)).count();
         let first = self.order.iter().copied().filter(inside);
         let then = self.order.iter().copied().filter(move |n| !inside(n));
-        first.chain(then).take(open as usize)
+        first.chain(then).take((open as usize).saturating_sub(silent))
     }
 
     /// Whether `node` was let in in the start it has said.
@@ -150,12 +154,21 @@
         2 * count > self.members.len()
     }
 
-    /// Whether the stage's own condition for going on holds; the guide adds its time.
+    /// Whether the stage may be left at all. A wave may: one that does not come up sends nothing, and must not keep the
+    /// others out. How long it is waited for is the guide's.
     pub fn may_advance(&self) -> bool {
         match self.stage {
             Stage::Counting | Stage::Normal => false,
             Stage::Lists => self.majority(self.present.values().filter(|p| p.listed).count()),
+            Stage::Waves(_) => true,
+        }
+    }
+
+    /// Whether everybody the stage let in serves.
+    pub fn all_serve(&self) -> bool {
+        match self.stage {
             Stage::Waves(open) => self.opened(open).all(|n| self.present.get(&n).is_none_or(|p| p.serving)),
+            _ => true,
         }
     }
 
@@ -193,6 +206,9 @@
         if term != self.term || older || !self.members.contains(&node) {
             return Outcome::Ignored;
         }
+        if self.let_in.get(&node).is_some_and(|boot| *boot != presence.boot) {
+            self.let_in.remove(&node);
+        }
         if self.present.insert(node, presence).is_none() {
             self.order.push(node);
         }
@@ -213,21 +229,25 @@
         }
         self.stage = match self.stage {
             // A return begun before an election goes on from those it had let in.
-            Stage::Lists => Stage::Waves(self.order.iter().filter(|n| self.stays(**n)).count().max(1) as u32),
+            Stage::Lists => Stage::Waves(self.let_in.len().max(1) as u32),
             Stage::Waves(open) if (open as usize) * 2 < self.members.len() => Stage::Waves(open * 2),
             _ => Stage::Normal,
         };
         Outcome::Done
     }
 
-    /// Whoever may come in now may stay in for as long as its start lasts.
+    /// Whoever a wave let in may stay in for as long as its start lasts, whatever an election in the middle changes.
     fn remember(&mut self) {
-        let now: Vec<(MemberId, u64)> = self
-            .present
-            .iter()
-            .filter(|(node, p)| self.lets_in(**node, p.boot))
-            .map(|(node, p)| (*node, p.boot))
-            .collect();
-        self.let_in.extend(now);
+        match self.stage {
+            Stage::Normal => self.let_in.clear(),
+            Stage::Waves(open) => {
+                let now: Vec<(MemberId, u64)> = self
+                    .opened(open)
+                    .filter_map(|node| Some((node, self.present.get(&node)?.boot)))
+                    .collect();
+                self.let_in.extend(now);
+            }
+            Stage::Counting | Stage::Lists => {}
+        }
     }
 }
