Read once more: one timer for what is said again, one check of the budget, one HTTP question

Found written several times: 'not said for 250 ms' in the agent, the conductor, the guide and six places of a member (now fleet's Again); the zones of a budget looked up in three closures (Plan::admits); a connection asked over HTTP in front.rs and relay.rs (http::ask); a watch replaced only by another value (relay::replace). Simpler: may_take's double match, a rollback that halted and unhalted to give slots back, steps of a rollback built twice, a presence looked up twice, a launch copied at each start. Two comments said that a drain waits for those heard; it waits for all.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,12 +27,14 @@
 //!
 //! A wall clock that jumps forwards or back changes nothing here, since none is read.
 
+mod again;
 mod expiry;
 mod fence;
 mod holder;
 mod table;
 mod types;
 
+pub use again::{Again, AGAIN_MS};
 pub use expiry::Expiry;
 pub use fence::{Fence, Stale};
 pub use holder::{Holder, HolderState};
--- a/crates/member/src/front.rs
+++ b/crates/member/src/front.rs
@@ -7,7 +7,6 @@
 use crate::config::{FrontFile, LaunchFile};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
-use hyper_util::rt::TokioIo;
 use pinetrestle_rollout::{Act, Health, Seen};
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
@@ -16,7 +15,6 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
 /// The variable that marks a member's front node: whose it is and which version.
@@ -106,8 +104,8 @@
         if self.process.is_some() {
             return;
         }
-        let Some(launch) = self.file.versions.get(&version).cloned() else { return };
-        match self.start(&launch, &version, safe) {
+        let Some(launch) = self.file.versions.get(&version) else { return };
+        match self.start(launch, &version, safe) {
             Ok(child) => {
                 info!(self.log, "front node started"; "pid" => child.id(), "version" => &version, "safe" => safe);
                 self.process = Some(Process { pid: child.id(), version, child: Some(child), ending: false });
@@ -207,15 +205,12 @@
 /// One question to the front node: status and body, none if it did not answer in time.
 async fn get(addr: SocketAddr, path: &str) -> Option<(u16, Bytes)> {
     let asked = async {
-        let stream = TcpStream::connect(addr).await.ok()?;
-        let (mut sender, link) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
-        let link = tokio::task::spawn_local(link);
         let request = hyper::Request::get(path)
             .header(hyper::header::HOST, "front")
             .header(hyper::header::CONNECTION, "close")
             .body(Empty::<Bytes>::new())
             .ok()?;
-        let answer = sender.send_request(request).await.ok()?;
+        let (answer, link) = crate::http::ask(addr, request).await?;
         let status = answer.status().as_u16();
         let body = http_body_util::Limited::new(answer.into_body(), MOST_ANSWER).collect().await.ok()?;
         link.abort();
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cli;
 pub mod config;
 pub mod front;
+pub mod http;
 pub mod logging;
 pub mod member;
 pub mod net;
--- a/crates/member/src/net.rs
+++ b/crates/member/src/net.rs
@@ -129,11 +129,7 @@
 
     fn carry(&mut self, out: &mut Out) {
         if let (Some(relay), Some(view)) = (&self.relay, out.view.take()) {
-            relay.view.send_if_modified(|known| {
-                let new = *known != view;
-                *known = view;
-                new
-            });
+            relay::replace(&relay.view, view);
         }
         // The agent says an act once: one that found no place is kept, and a later one goes before it.
         self.waiting = out.act.take().or(self.waiting.take());
--- a/crates/member/src/relay.rs
+++ b/crates/member/src/relay.rs
@@ -21,7 +21,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
 /// The path of the list.
@@ -59,6 +59,15 @@
     pub told: watch::Receiver<BTreeMap<String, u64>>,
 }
 
+/// Puts a value in a watch's place and wakes those that wait only where it is another.
+pub fn replace<T: PartialEq>(watch: &watch::Sender<T>, value: T) {
+    watch.send_if_modified(|known| {
+        let new = *known != value;
+        *known = value;
+        new
+    });
+}
+
 struct Relay {
     upstream: watch::Receiver<Option<Rc<Vec<Value>>>>,
     view: watch::Receiver<View>,
@@ -207,11 +216,7 @@
                 }
             }
         }
-        relay.told.send_if_modified(|told| {
-            let new = *told != changes;
-            *told = changes;
-            new
-        });
+        replace(&relay.told, changes);
         tokio::select! {
             changed = upstream.changed() => if changed.is_err() { return },
             changed = view.changed() => if changed.is_err() { return },
@@ -251,14 +256,11 @@
 
 async fn open(addr: SocketAddr) -> Option<(Incoming, tokio::task::JoinHandle<hyper::Result<()>>)> {
     let asked = async {
-        let stream = TcpStream::connect(addr).await.ok()?;
-        let (mut sender, link) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
-        let link = tokio::task::spawn_local(link);
         let request = Request::get(format!("{PATH}?watch=1&after=0"))
             .header(hyper::header::HOST, "discovery")
             .body(Empty::<Bytes>::new())
             .ok()?;
-        let answer = sender.send_request(request).await.ok()?;
+        let (answer, link) = crate::http::ask(addr, request).await?;
         (answer.status() == 200).then(|| (answer.into_body(), link))
     };
     tokio::time::timeout(SILENCE, asked).await.ok().flatten()
--- a/crates/member/src/rollout.rs
+++ b/crates/member/src/rollout.rs
@@ -6,7 +6,7 @@
 use crate::relay::{Listed, View};
 use crate::replica::{Entry, Replica};
 use crate::wire::{NodeView, RecoveryView, ReleaseView, Reply, RolloutView, ServerView};
-use pinetrestle_fleet::{MemberId, Token};
+use pinetrestle_fleet::{Again, MemberId, Token, AGAIN_MS};
 use pinetrestle_recovery::{Gate, Guide, Recovery, Verdict};
 use pinetrestle_rollout::{
     Act, Agent, Command, Conductor, Entrance, Kind, Outcome, Phase, Plan, Rollout, Stage, Step, Watcher,
@@ -16,8 +16,6 @@
 
 /// Operators' commands that wait for their outcome at one member, at most.
 const MOST_PENDING: usize = 64;
-/// Milliseconds between two proposals of the same command.
-const AGAIN_MS: u64 = 250;
 /// Milliseconds after which an operators' command that nobody decided is answered as such.
 const GIVE_UP_MS: u64 = 10_000;
 /// Index servers reported anew in one tick, at most.
@@ -27,7 +25,7 @@
     command: Command,
     reply: Option<oneshot::Sender<Reply>>,
     since: u64,
-    asked: Option<u64>,
+    asked: Again,
 }
 
 /// What Raft says of this member now.
@@ -45,7 +43,7 @@
 pub struct Part {
     me: MemberId,
     plan: Option<Plan>,
-    configured: Option<u64>,
+    configured: Again,
     agent: Option<Agent>,
     conductor: Conductor,
     watcher: Option<Watcher>,
@@ -55,10 +53,10 @@
     guide: Guide,
     verdict: Verdict,
     relayed: bool,
-    elected_at: Option<u64>,
-    present_at: Option<u64>,
+    elected: Again,
+    presented: Again,
     pending: BTreeMap<String, Pending>,
-    told_at: BTreeMap<String, u64>,
+    told_at: BTreeMap<String, Again>,
     observed_at: u64,
     /// What was last seen of the front node.
     pub look: Look,
@@ -79,7 +77,7 @@
         Part {
             me,
             plan: file.plan(),
-            configured: None,
+            configured: Again::default(),
             agent,
             conductor: Conductor::new(),
             watcher: None,
@@ -89,8 +87,8 @@
             guide: Guide::new(),
             verdict: Verdict::Wait("it has just started"),
             relayed: file.front.as_ref().is_some_and(|f| f.relay.is_some()),
-            elected_at: None,
-            present_at: None,
+            elected: Again::default(),
+            presented: Again::default(),
             pending: BTreeMap::new(),
             told_at: BTreeMap::new(),
             observed_at: 0,
@@ -128,7 +126,7 @@
         } else if self.pending.len() >= MOST_PENDING {
             let _ = reply.send(Reply::Refused("64 commands wait already".into()));
         } else {
-            let pending = Pending { command, reply: Some(reply), since: now, asked: None };
+            let pending = Pending { command, reply: Some(reply), since: now, asked: Again::default() };
             self.pending.insert(id, pending);
         }
     }
@@ -179,8 +177,7 @@
         use pinetrestle_recovery::Command as Return;
         let state = &replica.recovery;
         let mut commands = Vec::new();
-        if raft.leads && state.term() < raft.term && self.elected_at.is_none_or(|at| now >= at + AGAIN_MS) {
-            self.elected_at = Some(now);
+        if raft.leads && state.term() < raft.term && self.elected.due(now) {
             let members = self.plan.iter().flat_map(|p| p.nodes.keys().copied()).collect();
             commands.push(Return::Elected { term: raft.term, members });
         }
@@ -192,8 +189,7 @@
         // look on.
         let current = raft.leader && state.term() == raft.term;
         let due = current && news && (self.look.looked || self.agent.is_none());
-        if due && self.present_at.is_none_or(|at| now >= at + AGAIN_MS) {
-            self.present_at = Some(now);
+        if due && self.presented.due(now) {
             let (node, boot, term) = (self.me, self.boot, raft.term);
             commands.push(Return::Present { node, boot, term, serving, listed });
         }
@@ -243,8 +239,7 @@
                 }
                 return false;
             }
-            if pending.asked.is_none_or(|at| now >= at + AGAIN_MS) {
-                pending.asked = Some(now);
+            if pending.asked.due(now) {
                 commands.push(pending.command.clone());
             }
             true
@@ -257,8 +252,7 @@
         let mut commands = Vec::new();
         if let Some(plan) = &self.plan {
             let newer = state.plan().is_none_or(|p| p.revision < plan.revision);
-            if newer && self.configured.is_none_or(|at| now >= at + AGAIN_MS) {
-                self.configured = Some(now);
+            if newer && self.configured.due(now) {
                 commands.push(Command::Configure(plan.clone()));
             }
         }
@@ -296,8 +290,7 @@
                 && self.told.get(name) == Some(&server.change);
             if !due {
                 self.told_at.remove(name);
-            } else if self.told_at.get(name).is_none_or(|at| now >= at + AGAIN_MS) {
-                self.told_at.insert(name.to_owned(), now);
+            } else if self.told_at.entry(name.to_owned()).or_default().due(now) {
                 let (node, server, change) = (self.me, name.to_owned(), server.change);
                 commands.push(Command::Told { node, server, change });
             }
--- a/crates/recovery/src/guide.rs
+++ b/crates/recovery/src/guide.rs
@@ -1,10 +1,7 @@
 //! The holder of the release lease: when the next stage of a return may open.
 
 use crate::state::{Command, Recovery, Stage};
-use pinetrestle_fleet::Token;
-
-/// Milliseconds between two proposals of the same step.
-const AGAIN_MS: u64 = 250;
+use pinetrestle_fleet::{Again, Token};
 
 /// Times of a wave (or of a second, if that is more) after which one that does not come up is waited for no longer.
 const PATIENCE: u64 = 10;
@@ -13,7 +10,7 @@
 #[derive(Debug, Default, Clone)]
 pub struct Guide {
     seen: Option<(Token, u64, Stage, u64)>,
-    asked: Option<u64>,
+    asked: Again,
 }
 
 impl Guide {
@@ -35,7 +32,7 @@
         let here = (state.epoch(), state.stage());
         match self.seen {
             Some((t, epoch, stage, _)) if t == token && (epoch, stage) == here => {}
-            _ => (self.seen, self.asked) = (Some((token, here.0, here.1, now_ms)), None),
+            _ => (self.seen, self.asked) = (Some((token, here.0, here.1, now_ms)), Again::default()),
         }
         let since = self.seen.map_or(now_ms, |seen| seen.3);
         let wait = match state.stage() {
@@ -44,10 +41,6 @@
             _ => 0,
         };
         let due = !halted && state.may_advance() && now_ms >= since + wait;
-        if !due || self.asked.is_some_and(|at| now_ms < at + AGAIN_MS) {
-            return None;
-        }
-        self.asked = Some(now_ms);
-        Some(Command::Advance { token, epoch: here.0, from: here.1 })
+        (due && self.asked.due(now_ms)).then_some(Command::Advance { token, epoch: here.0, from: here.1 })
     }
 }
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -20,7 +20,8 @@
 //! | [`Stage::Normal`] | everybody | an election counts anew |
 //!
 //! Waves double, 1, 2, 4, until they grow by an eighth of the fleet (two at least) each. What a front node holds is
-//! bounded, so what index servers get grows at most so. A front node that was let in is never shut out again by what comes later, only by its own start.
+//! bounded, so what index servers get grows at most so. A front node that a wave let in is not shut out again while the
+//! return lasts, but by its own start.
 
 mod gate;
 mod guide;
--- a/crates/recovery/src/state.rs
+++ b/crates/recovery/src/state.rs
@@ -125,13 +125,11 @@
             return true;
         }
         // Only one whose present start the log knows: an older word says nothing of this one.
-        let known = self.present.get(&node).is_some_and(|p| p.boot == boot);
+        let Some(said) = self.present.get(&node).filter(|p| p.boot == boot) else { return false };
         match self.stage {
-            Stage::Counting | Stage::Lists => known && self.present[&node].serving,
-            Stage::Waves(open) => {
-                known && (self.present[&node].serving || self.opened(open).any(|n| n == node))
-            }
-            Stage::Normal => known,
+            Stage::Counting | Stage::Lists => said.serving,
+            Stage::Waves(open) => said.serving || self.opened(open).any(|n| n == node),
+            Stage::Normal => true,
         }
     }
 
--- a/crates/rollout/src/agent.rs
+++ b/crates/rollout/src/agent.rs
@@ -2,7 +2,7 @@
 
 use crate::state::{Rollout, Slot};
 use crate::types::{Command, Health};
-use pinetrestle_fleet::MemberId;
+use pinetrestle_fleet::{Again, MemberId, AGAIN_MS};
 use std::collections::BTreeSet;
 
 /// What the agent sees of its front node.
@@ -40,8 +40,6 @@
     Kill,
 }
 
-/// Milliseconds between two tries of the same thing.
-const AGAIN_MS: u64 = 250;
 /// Milliseconds between two polls that count at most.
 const MOST_GAP_MS: u64 = 250;
 /// Milliseconds between two starts of a front node that ends by itself.
@@ -90,8 +88,10 @@
     /// it has looked at nothing meanwhile.
     at_work: u64,
     last_now: Option<u64>,
-    began_at: Option<(u64, u64)>,
-    told_at: Option<u64>,
+    /// The slot it last asked to begin, and when.
+    began: (u64, Again),
+    /// Its word on the step it is in.
+    told: Again,
     started_at: Option<u64>,
     stopped_at: Option<u64>,
 }
@@ -119,8 +119,8 @@
             reported: None,
             at_work: 0,
             last_now: None,
-            began_at: None,
-            told_at: None,
+            began: Default::default(),
+            told: Again::default(),
             started_at: None,
             stopped_at: None,
         }
@@ -200,13 +200,15 @@
     ) -> (Mode, Option<Act>) {
         if let Some(slot) = slot {
             if !self.versions.contains(&slot.goal) {
-                if self.again(now) {
+                if self.told.due(now) {
                     let why = format!("no version {} here", slot.goal);
                     commands.push(Command::Broken { node: self.me, slot: slot.index, why });
                 }
             } else if !slot.begun {
-                if self.began_at.is_none_or(|(s, at)| s != slot.index || now >= at + AGAIN_MS) {
-                    self.began_at = Some((slot.index, now));
+                if self.began.0 != slot.index {
+                    self.began = (slot.index, Again::default());
+                }
+                if self.began.1.due(now) {
                     commands.push(Command::Begin { node: self.me, slot: slot.index });
                 }
             } else {
@@ -214,7 +216,7 @@
                     Some(running) if *running == slot.goal => Phase::Starting,
                     _ => Phase::Stopping,
                 };
-                (self.stopped_at, self.told_at) = (None, None);
+                (self.stopped_at, self.told) = (None, Again::default());
                 return self.step(now, seen, slot, phase, now, state, commands);
             }
         }
@@ -268,6 +270,7 @@
         let before = std::mem::discriminant(&phase);
         let (next, act) = match phase {
             Phase::Stopping if seen.running.is_none() => {
+                self.started_at = Some(now);
                 (Phase::Starting, Some(Act::Start(slot.goal.clone())))
             }
             Phase::Stopping => (Phase::Stopping, self.stop(now)),
@@ -282,14 +285,14 @@
             Phase::Starting => (Phase::Starting, None),
             // Once it was said that the goal serves, the word may be in the log: there is no way back from here, and
             // a front node that ends now is started again like any other.
-            Phase::Settling(base) if seen.running.is_none() && self.told_at.is_some() => {
+            Phase::Settling(base) if seen.running.is_none() && self.told.said() => {
                 (Phase::Settling(base), self.start(now, &slot.goal))
             }
             Phase::Settling(_) if !goal_runs => {
                 (Phase::GoingBack("it ended while it was watched".to_owned()), None)
             }
             Phase::Settling(base) => {
-                if now >= since + settle_ms && self.again(now) {
+                if now >= since + settle_ms && self.told.due(now) {
                     let health = Health {
                         answered: seen.counts.answered.saturating_sub(base.answered),
                         failed: seen.counts.failed.saturating_sub(base.failed),
@@ -302,7 +305,7 @@
             Phase::GoingBack(why) => {
                 let act = match &seen.running {
                     Some(running) if *running == slot.leaves => {
-                        if seen.ready && self.again(now) {
+                        if seen.ready && self.told.due(now) {
                             let why = why.clone();
                             commands.push(Command::Broken { node: self.me, slot: slot.index, why });
                         }
@@ -314,22 +317,10 @@
                 (Phase::GoingBack(why), act)
             }
         };
-        if let Some(Act::Start(_)) = act {
-            self.started_at = Some(now);
-        }
         let since = if std::mem::discriminant(&next) == before { since } else { now };
         (Mode::Step { slot, phase: next, since }, act)
     }
 
-    /// Whether the last word on a step is old enough to be said again.
-    fn again(&mut self, now: u64) -> bool {
-        let due = self.told_at.is_none_or(|at| now >= at + AGAIN_MS);
-        if due {
-            self.told_at = Some(now);
-        }
-        due
-    }
-
     /// Says how the front node stands when the state has it otherwise.
     fn report(&mut self, now: u64, seen: &Seen, mode: &Mode, state: &Rollout, commands: &mut Vec<Command>) {
         let Some(known) = state.node(self.me) else { return };
--- a/crates/rollout/src/conductor.rs
+++ b/crates/rollout/src/conductor.rs
@@ -3,7 +3,7 @@
 use crate::servers::Phase;
 use crate::state::{Rollout, Stage, Step};
 use crate::types::Command;
-use pinetrestle_fleet::{MemberId, Token};
+use pinetrestle_fleet::{Again, MemberId, Token};
 use std::collections::BTreeMap;
 
 /// What one conductor remembers while it holds the lease; one that takes over begins anew from the replicated state.
@@ -17,12 +17,9 @@
     /// Since when each front node has not served, as seen here.
     dark: BTreeMap<MemberId, u64>,
     /// When something was last proposed for a front node, to leave it time to be applied.
-    asked: BTreeMap<MemberId, u64>,
+    asked: BTreeMap<MemberId, Again>,
 }
 
-/// Milliseconds between two proposals of the same step.
-const AGAIN_MS: u64 = 250;
-
 impl Conductor {
     /// One that has seen nothing.
     pub fn new() -> Self {
@@ -73,9 +70,7 @@
                     continue;
                 }
                 trial.get_or_insert_with(|| state.clone()).take(state.applied() + 1, node);
-                let asked = self.asked.get(&node).copied();
-                if asked.is_none_or(|at| now_ms >= at + AGAIN_MS) {
-                    self.asked.insert(node, now_ms);
+                if self.asked.entry(node).or_default().due(now_ms) {
                     commands.push(Command::Take { token, node });
                 }
             }
--- a/crates/rollout/src/servers.rs
+++ b/crates/rollout/src/servers.rs
@@ -11,9 +11,9 @@
 pub enum Phase {
     /// Sent to by all front nodes.
     Serving,
-    /// To be left by all: not every front node that is heard has been told yet.
+    /// To be left by all: not every front node has been told yet.
     Draining,
-    /// Every front node that is heard has been told: it may be stopped once its last parts are answered.
+    /// Every front node has been told: it may be stopped once its last parts are answered.
     Drained,
     /// Coming back: so many stages of the plan's ramp are open.
     Ramping(u32),
--- a/crates/rollout/src/state.rs
+++ b/crates/rollout/src/state.rs
@@ -198,16 +198,13 @@
     /// # Errors
     /// [`Over`] with the bound that has no place.
     pub fn fits_budget(&self, plan: &Plan, node: MemberId) -> Result<(), Over> {
-        let zone_of = |n: MemberId| plan.nodes.get(&n).and_then(|p| p.zone.as_deref());
-        let others = plan.nodes.keys().copied().filter(|n| *n != node && self.away(*n));
-        plan.node_budget.admits(plan.nodes.len(), zone_of(node), others.map(zone_of))
+        plan.admits(node, plan.nodes.keys().copied().filter(|n| *n != node && self.away(*n)))
     }
 
     /// The same, counting as away only those that hold slots.
     fn fits_steps(&self, plan: &Plan, node: MemberId) -> Result<(), Over> {
-        let zone_of = |n: MemberId| plan.nodes.get(&n).and_then(|p| p.zone.as_deref());
         let others = self.nodes.iter().filter(|(n, s)| **n != node && s.slot.is_some());
-        plan.node_budget.admits(plan.nodes.len(), zone_of(node), others.map(|(n, _)| zone_of(*n)))
+        plan.admits(node, others.map(|(n, _)| *n))
     }
 
     /// Applies the command at log `index`, above every index applied before. `release_lease` is the token of the
@@ -367,9 +364,8 @@
         let release =
             self.release.as_ref().filter(|r| r.stage == Stage::Running).ok_or(Refusal::NoRelease)?;
         let state = self.nodes.get(&node).ok_or(Refusal::Unknown)?;
-        let due = matches!(release.steps.get(&node), Some(Step::Waiting | Step::Failed(_)));
         // A failed step is tried again only by a resume or a rollback, which make it wait anew.
-        if !due || state.slot.is_some() || matches!(release.steps.get(&node), Some(Step::Failed(_))) {
+        if release.steps.get(&node) != Some(&Step::Waiting) || state.slot.is_some() {
             return Err(Refusal::NotDue);
         }
         if state.lost || state.version.is_empty() {
@@ -505,11 +501,7 @@
         if failed.is_empty() || !of(|s| *s == Step::Going).is_empty() {
             return;
         }
-        let zone_of = |n: MemberId| plan.nodes.get(&n).and_then(|p| p.zone.as_deref());
-        let fits = |n: MemberId| {
-            let away = failed.iter().map(|f| zone_of(*f));
-            plan.node_budget.admits(plan.nodes.len(), zone_of(n), away).is_ok()
-        };
+        let fits = |n: MemberId| plan.admits(n, failed.iter().copied()).is_ok();
         if release.behind_canaries(plan) || !of(|s| *s == Step::Waiting).into_iter().any(fits) {
             self.stop("failures", &format!("{} failed steps leave no front node that may go", failed.len()));
         }
@@ -542,6 +534,11 @@
     /// Halts: slots that nobody has begun are given back, so that no step begins after this entry.
     fn stop(&mut self, id: &str, why: &str) {
         self.halted = Some(Halt { id: id.to_owned(), why: why.to_owned() });
+        self.give_back();
+    }
+
+    /// Gives back the slots that nobody has begun; their turn comes again.
+    fn give_back(&mut self) {
         for (node, state) in &mut self.nodes {
             if state.slot.as_ref().is_some_and(|s| !s.begun) {
                 state.slot = None;
@@ -567,7 +564,9 @@
         }
         if let Some(release) = self.release.as_mut().filter(|r| r.stage == Stage::Running) {
             release.failures = 0;
-            retry(&mut release.steps);
+            for step in release.steps.values_mut().filter(|s| matches!(s, Step::Failed(_))) {
+                *step = Step::Waiting;
+            }
         }
         Outcome::Done
     }
@@ -581,30 +580,19 @@
         release.kind = Kind::Back;
         release.stage = Stage::Running;
         release.failures = 0;
-        release.steps = self.nodes.keys().map(|id| (*id, Step::Waiting)).collect();
-        for (id, step) in &mut release.steps {
-            let node = self.nodes.get(id);
-            *step = match node {
-                Some(n) if n.slot.is_some() => Step::Going,
-                // Never left the version that all go back to.
-                Some(n) if n.version == release.from && n.ready && !n.lost => Step::Passed,
-                _ => Step::Waiting,
-            };
-        }
+        let from = &release.from;
+        let step = |n: &NodeState| match n {
+            n if n.slot.is_some() => Step::Going,
+            // Never left the version that all go back to.
+            n if n.version == *from && n.ready && !n.lost => Step::Passed,
+            _ => Step::Waiting,
+        };
+        release.steps = self.nodes.iter().map(|(id, n)| (*id, step(n))).collect();
         // The way back is the operators' word to go on, so it ends the halt; slots for the way forward that nobody
         // has begun are given back.
-        self.stop("rollback", "");
         self.halted = None;
+        self.give_back();
         self.settle();
         Outcome::Done
     }
 }
-
-/// Failed steps have their turn before them again.
-fn retry(steps: &mut BTreeMap<MemberId, Step>) {
-    for step in steps.values_mut() {
-        if matches!(step, Step::Failed(_)) {
-            *step = Step::Waiting;
-        }
-    }
-}
--- a/crates/rollout/src/types.rs
+++ b/crates/rollout/src/types.rs
@@ -1,6 +1,6 @@
 //! Commands of the replicated log, their outcomes, and the plan all members agree on.
 
-use crate::budget::Budget;
+use crate::budget::{Budget, Over};
 use pinetrestle_fleet::{MemberId, Token};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -43,6 +43,17 @@
     pub ramp_ms: u64,
 }
 
+impl Plan {
+    /// Whether one more front node, `node`, may go while `away` are away already.
+    ///
+    /// # Errors
+    /// [`Over`] with the bound that has no place.
+    pub fn admits(&self, node: MemberId, away: impl Iterator<Item = MemberId>) -> Result<(), Over> {
+        let zone_of = |n: MemberId| self.nodes.get(&n).and_then(|p| p.zone.as_deref());
+        self.node_budget.admits(self.nodes.len(), zone_of(node), away.map(zone_of))
+    }
+}
+
 /// One front node in the plan.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodePlan {
@@ -251,7 +262,7 @@
     /// There is no release that runs, or none to roll back.
     NoRelease,
     /// The budget has no place.
-    Budget(crate::budget::Over),
+    Budget(Over),
     /// The unit has a slot already, or is where it should be.
     NotDue,
     /// The canaries have not passed yet.
