Fleet measurements become a benchmark; the balancer with its clients joins the stand-ins

Cause: the measurements stood among the tests as ignored ones, and the load that plays a balancer and its clients could not be used outside one crate's tests.

No assertion of a test changed.

--- a/crates/member/tests/measure.rs
+++ b/crates/member/benches/fleet.rs
@@ -1,13 +1,14 @@
-//! Measurements, not run with the tests: `cargo test --release -p pinetrestle-member --test measure -- --ignored
-//! --nocapture --test-threads 1`. Figures go to `docs/results.md`.
+//! Measurements of a fleet of processes: `cargo bench -p pinetrestle-member --bench fleet -- WHICH`, WHICH being `roll`,
+//! `grants` or `power`; all of them without. Some minutes; figures go to `docs/results.md`.
 
+#[path = "../tests/common/mod.rs"]
 mod common;
 
 use common::fleet::{Fleet, Setup, LONG};
-use common::front::{ask_once, p99_ms, Load};
-use common::{ports, wall_us, Mesh};
+use common::{ports, Mesh};
 use pinetrestle_member::net;
 use pinetrestle_member::wire::{Ask, Reply, Status};
+use pinetrestle_standins::{ask_once, p99_ms, wall_us, Load};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
@@ -57,12 +58,9 @@
     }
 }
 
-#[test]
-#[ignore = "a measurement of some minutes"]
-fn time_to_roll() {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+async fn time_to_roll() {
     for (members, budget) in [(7, 1), (7, 2), (50, 1), (50, 10)] {
-        runtime.block_on(roll(members, budget));
+        roll(members, budget).await;
     }
 }
 
@@ -162,13 +160,6 @@
     }
 }
 
-#[test]
-#[ignore = "a measurement of half a minute"]
-fn grants_a_second() {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
-    runtime.block_on(grants());
-}
-
 /// All killed at once and started again at once; each front node has clients of its own that ask 20 times a second and
 /// keep what they could not ask, 60 queries at most, until it is ready. What that makes at the index servers.
 async fn power_back(members: u64, wave_ms: Option<u64>) {
@@ -256,13 +247,27 @@
     );
 }
 
-#[test]
-#[ignore = "a measurement of some minutes"]
-fn power_returns() {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+async fn power_returns() {
     for (members, wave) in [(7, None), (7, Some(1_000)), (50, None), (50, Some(1_000))] {
         for _ in 0..if members == 7 { 3 } else { 1 } {
-            runtime.block_on(power_back(members, wave));
+            power_back(members, wave).await;
         }
     }
 }
+
+fn main() {
+    let asked: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with('-')).collect();
+    let wanted = |name: &str| asked.is_empty() || asked.iter().any(|a| a == name);
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    runtime.block_on(async {
+        if wanted("roll") {
+            time_to_roll().await;
+        }
+        if wanted("grants") {
+            grants().await;
+        }
+        if wanted("power") {
+            power_returns().await;
+        }
+    });
+}
--- a/crates/member/tests/common/fleet.rs
+++ b/crates/member/tests/common/fleet.rs
@@ -1,7 +1,6 @@
 //! A fleet of the program's processes: members, each with its own front node, index servers, discovery, proxies.
 
-use super::front::node_program;
-use super::{ports, signal, Mesh};
+use super::{node_program, ports, signal, Mesh};
 use pinetrestle_member::net;
 use pinetrestle_member::wire::{Ask, Reply, RolloutView, Status};
 use pinetrestle_standins::{config_json, entries, list, Discovery, Doing, Server};
--- a/crates/member/tests/common/mod.rs
+++ b/crates/member/tests/common/mod.rs
@@ -2,13 +2,13 @@
 #![allow(dead_code)]
 
 pub mod fleet;
-pub mod front;
 
 use pinetrestle_faultnet::{Fault, Proxy};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::OnceLock;
 
 /// Free ports from `base` on, held until dropped: below the kernel's range for port 0 (where the proxies bind), so that
 /// no proxy of a seed played beside this one takes a port between its check and its use.
@@ -26,9 +26,23 @@
     found
 }
 
-/// Microseconds of the wall clock since 1970.
-pub fn wall_us() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64
+/// The front node's program, beside this crate's own; built here if the tests of this crate run alone.
+pub fn node_program() -> PathBuf {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    BUILT
+        .get_or_init(|| {
+            let path = Path::new(env!("CARGO_BIN_EXE_pinetrestle")).with_file_name("pinetrestle-node");
+            if !path.exists() {
+                let mut build = std::process::Command::new(env!("CARGO"));
+                build.args(["build", "--locked", "-p", "pinetrestle-node"]);
+                if !cfg!(debug_assertions) {
+                    build.arg("--release");
+                }
+                assert!(build.status().unwrap().success(), "the front node builds");
+            }
+            path
+        })
+        .clone()
 }
 
 /// Sends a process a signal, as `-STOP`.
--- a/crates/member/tests/dark.rs
+++ b/crates/member/tests/dark.rs
@@ -7,10 +7,10 @@
 mod common;
 
 use common::fleet::{Fleet, Setup, LONG};
-use common::front::Load;
-use common::{play_seeds, signal, wall_us};
+use common::{play_seeds, signal};
 use pinetrestle_faultnet::Fault;
 use pinetrestle_member::wire::RolloutView;
+use pinetrestle_standins::{wall_us, Load};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::time::{Duration, Instant};
--- a/crates/member/tests/five.rs
+++ b/crates/member/tests/five.rs
@@ -8,10 +8,11 @@
 
 mod common;
 
-use common::{play_seeds, ports, wall_us, Mesh};
+use common::{play_seeds, ports, Mesh};
 use pinetrestle_faultnet::Fault;
 use pinetrestle_member::net;
 use pinetrestle_member::wire::{Ask, Reply};
+use pinetrestle_standins::wall_us;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
--- a/crates/member/tests/seven.rs
+++ b/crates/member/tests/seven.rs
@@ -8,11 +8,10 @@
 mod common;
 
 use common::fleet::{Fleet, Setup, LONG};
-use common::front::{p99_ms, Load};
-use common::{play_seeds, signal, wall_us};
+use common::{play_seeds, signal};
 use pinetrestle_faultnet::Fault;
 use pinetrestle_member::wire::RolloutView;
-use pinetrestle_standins::{entries, Client};
+use pinetrestle_standins::{entries, p99_ms, wall_us, Client, Load};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,11 +11,13 @@
 //! | [`Stamping`] | an index server with bounded places a connection, work times, drain and cold start, that stops reading on demand and stamps each frame when it is read |
 //! | [`Client`] | asks one query at a time |
 //! | [`settings`], [`config_json`] | a small deployment and its files |
+//! | [`Load`] | a balancer and its clients: sends to the front nodes that are ready, checks each query for one answer |
 //! | [`Program`] | starts a front node, reads its log, sends it signals |
 
 mod clients;
 mod deployment;
 mod discovery;
+mod load;
 mod program;
 mod servers;
 mod stamping;
@@ -24,6 +26,7 @@
 pub use clients::{query, Answer, Client};
 pub use deployment::{config_json, entries, entries_at, list, settings};
 pub use discovery::{Discovery, Telling};
+pub use load::{ask_once, p99_ms, wall_us, Asked, Load};
 pub use program::{start_badly, start_badly_with, word, Program, Unread};
 pub use servers::{Doing, PartSeen, Server};
 pub use stamping::{Seen, Stamping, Work};
--- a/crates/member/tests/common/front.rs
+++ b/crates/standins/src/load.rs
@@ -1,38 +1,23 @@
-//! Front nodes under test: their files, their health as a load balancer sees it, a steady load that checks each query
-//! for exactly one final answer.
+//! Front nodes seen from outside: their health as a load balancer sees it, and a steady load that checks each query for
+//! exactly one final answer.
 
-use super::wall_us;
-use pinetrestle_standins::query;
+use crate::clients::query;
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
-
-/// The front node's program, beside this crate's own; built here if the tests of this crate run alone.
-pub fn node_program() -> PathBuf {
-    static BUILT: OnceLock<PathBuf> = OnceLock::new();
-    BUILT
-        .get_or_init(|| {
-            let path = Path::new(env!("CARGO_BIN_EXE_pinetrestle")).with_file_name("pinetrestle-node");
-            if !path.exists() {
-                let mut build = std::process::Command::new(env!("CARGO"));
-                build.args(["build", "--locked", "-p", "pinetrestle-node"]);
-                if !cfg!(debug_assertions) {
-                    build.arg("--release");
-                }
-                assert!(build.status().unwrap().success(), "the front node builds");
-            }
-            path
-        })
-        .clone()
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Microseconds of the wall clock since 1970.
+pub fn wall_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64)
 }
 
 /// One look at a front node from outside.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Health {
+enum Health {
     Ready,
     /// It refuses, or says that it is not ready.
     Away,
@@ -41,12 +26,15 @@
 /// What happened to one query.
 #[derive(Debug, Clone)]
 pub struct Asked {
+    /// When it was begun, by the wall clock.
     pub at_us: u64,
+    /// From its connection's begin to its end, microseconds.
     pub took_us: u64,
     /// The status of its answer; 0: none came.
     pub status: u16,
     /// Bytes that came after its answer.
     pub more: usize,
+    /// The front node asked, by its place in the list.
     pub node: usize,
 }
 
@@ -116,7 +104,7 @@
             threads.push(std::thread::spawn(move || {
                 while !stop.load(Ordering::Relaxed) {
                     if let Some(health) = probe(addr) {
-                        let mut shared = shared.lock().unwrap();
+                        let mut shared = shared.lock().expect("no panic");
                         let ready = health == Health::Ready;
                         if shared.ready[i] != ready {
                             shared.ready[i] = ready;
@@ -124,7 +112,7 @@
                         }
                     }
                     // One that ends waits for the last of its callers: it is not asked as often.
-                    let away = !shared.lock().unwrap().ready[i];
+                    let away = !shared.lock().expect("no panic").ready[i];
                     std::thread::sleep(Duration::from_millis(if away { 120 } else { 15 }));
                 }
             }));
@@ -137,11 +125,11 @@
                     std::thread::sleep(pause);
                     turn += 1;
                     let ready: Vec<usize> = {
-                        let shared = shared.lock().unwrap();
+                        let shared = shared.lock().expect("no panic");
                         (0..nodes.len()).filter(|i| shared.ready[*i]).collect()
                     };
                     let Some(&node) = ready.get(turn % ready.len().max(1)) else {
-                        shared.lock().unwrap().nowhere += 1;
+                        shared.lock().expect("no panic").nowhere += 1;
                         continue;
                     };
                     let class = if turn % 2 == 0 { "any" } else { "all" };
@@ -153,7 +141,7 @@
                         continue;
                     };
                     let took_us = begun.elapsed().as_micros() as u64;
-                    shared.lock().unwrap().asked.push(Asked { at_us, took_us, status, more, node });
+                    shared.lock().expect("no panic").asked.push(Asked { at_us, took_us, status, more, node });
                 }
             }));
         }
@@ -162,28 +150,28 @@
 
     /// How many front nodes are ready now.
     pub fn ready(&self) -> usize {
-        self.shared.lock().unwrap().ready.iter().filter(|r| **r).count()
+        self.shared.lock().expect("no panic").ready.iter().filter(|r| **r).count()
     }
 
     /// Whether a front node is ready now.
     pub fn is_ready(&self, node: usize) -> bool {
-        self.shared.lock().unwrap().ready[node]
+        self.shared.lock().expect("no panic").ready[node]
     }
 
     /// Queries asked so far.
     pub fn asked(&self) -> Vec<Asked> {
-        self.shared.lock().unwrap().asked.clone()
+        self.shared.lock().expect("no panic").asked.clone()
     }
 
     /// Rounds in which no front node was ready.
     pub fn nowhere(&self) -> u64 {
-        self.shared.lock().unwrap().nowhere
+        self.shared.lock().expect("no panic").nowhere
     }
 
     /// When how many front nodes were ready, from a moment on.
     pub fn ready_counts(&self, from_us: u64) -> Vec<(u64, usize)> {
-        let shared = self.shared.lock().unwrap();
-        let (mut ready, mut counts) = (std::collections::BTreeSet::new(), Vec::new());
+        let shared = self.shared.lock().expect("no panic");
+        let (mut ready, mut counts) = (BTreeSet::new(), Vec::new());
         for (at, node, health) in &shared.changes {
             match health {
                 Health::Ready => ready.insert(*node),
@@ -198,8 +186,8 @@
 
     /// Most front nodes away at once since `from_us`, at which all were ready.
     pub fn most_away(&self, from_us: u64) -> usize {
-        let shared = self.shared.lock().unwrap();
-        let (mut away, mut most) = (std::collections::BTreeSet::new(), 0);
+        let shared = self.shared.lock().expect("no panic");
+        let (mut away, mut most) = (BTreeSet::new(), 0);
         for (at, node, health) in &shared.changes {
             match health {
                 Health::Ready => away.remove(node),
