--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -22,26 +22,19 @@
 //! Every call returns [`std::io::Error`] from the file system as it came, with the path it concerned in the
 //! message, and [`std::io::ErrorKind::InvalidInput`] for a payload over [`MAX_RECORD`].
 
+mod disk;
 mod log;
 mod record;
 mod snapshot;
 
+pub use disk::{Disk, DiskFile, SystemDisk};
 pub use log::{Log, Opened};
 pub use record::{HEAD, MAX_RECORD};
-pub use snapshot::{read_snapshot, write_snapshot, Snapshot};
+pub use snapshot::{read_snapshot, read_snapshot_on, write_snapshot, write_snapshot_on, Snapshot};
 
-use std::fs::File;
 use std::io;
 use std::path::Path;
 
-/// Syncs a directory, so that a file created or renamed in it survives a power loss.
-///
-/// # Errors
-/// As `File::open` and `File::sync_all` on `dir`.
-pub fn sync_dir(dir: &Path) -> io::Result<()> {
-    File::open(dir).and_then(|d| d.sync_all()).map_err(|e| with_path(e, dir))
-}
-
 pub(crate) fn with_path(error: io::Error, path: &Path) -> io::Error {
     io::Error::new(error.kind(), format!("{}: {error}", path.display()))
 }
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -1,16 +1,18 @@
 //! The append-only log.
 
+use crate::disk::{append_all, Disk, DiskFile, SystemDisk};
 use crate::record::{decode, encode, MAX_RECORD};
-use crate::{sync_dir, with_path};
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
+use crate::with_path;
+use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// An open log, appended at its end.
 #[derive(Debug)]
 pub struct Log {
     dir: PathBuf,
-    file: File,
+    disk: Arc<dyn Disk>,
+    file: Box<dyn DiskFile>,
     /// Sequence number of the first record in the file; the next one appended is `first + len`.
     first: u64,
     len: u64,
@@ -36,29 +38,29 @@
     /// # Errors
     /// From the file system, with the path.
     pub fn open(dir: &Path, first: u64) -> io::Result<Opened> {
-        fs::create_dir_all(dir).map_err(|e| with_path(e, dir))?;
+        Log::open_on(Arc::new(SystemDisk), dir, first)
+    }
+
+    /// The same on a file system of the caller's.
+    ///
+    /// # Errors
+    /// As [`Log::open`].
+    pub fn open_on(disk: Arc<dyn Disk>, dir: &Path, first: u64) -> io::Result<Opened> {
+        disk.create_dir_all(dir).map_err(|e| with_path(e, dir))?;
         let path = dir.join("log");
-        let created = !path.exists();
-        let mut file = OpenOptions::new()
-            .read(true)
-            .append(true)
-            .create(true)
-            .open(&path)
-            .map_err(|e| with_path(e, &path))?;
-        if created {
-            sync_dir(dir)?;
-        }
-        let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes).map_err(|e| with_path(e, &path))?;
+        let mut file = disk.open_append(&path).map_err(|e| with_path(e, &path))?;
+        disk.sync_dir(dir).map_err(|e| with_path(e, dir))?;
+        let bytes = disk.read(&path).map_err(|e| with_path(e, &path))?;
         let (records, good) = scan(&bytes);
         let cut = (bytes.len() - good) as u64;
         if cut > 0 {
-            file.set_len(good as u64).map_err(|e| with_path(e, &path))?;
-            file.sync_all().map_err(|e| with_path(e, &path))?;
+            file.truncate(good as u64).map_err(|e| with_path(e, &path))?;
+            file.sync().map_err(|e| with_path(e, &path))?;
         }
         let first = records.first().map_or(first, |r| r.0);
         let log = Log {
             dir: dir.to_path_buf(),
+            disk,
             file,
             first,
             len: records.len() as u64,
@@ -92,7 +94,7 @@
         let seq = self.next_seq();
         self.scratch.clear();
         encode(seq, payload, &mut self.scratch);
-        self.file.write_all(&self.scratch).map_err(|e| with_path(e, &self.dir.join("log")))?;
+        append_all(&mut *self.file, &self.scratch).map_err(|e| with_path(e, &self.dir.join("log")))?;
         self.len += 1;
         self.bytes += self.scratch.len() as u64;
         Ok(seq)
@@ -103,7 +105,7 @@
     /// # Errors
     /// From `fdatasync`.
     pub fn sync(&mut self) -> io::Result<()> {
-        self.file.sync_data().map_err(|e| with_path(e, &self.dir.join("log")))
+        self.file.sync().map_err(|e| with_path(e, &self.dir.join("log")))
     }
 
     /// Drops every record before `keep_from` (they are in a snapshot now): the rest is written to `log.tmp`,
@@ -114,8 +116,7 @@
     /// From the file system; the log is unchanged then.
     pub fn compact(&mut self, keep_from: u64) -> io::Result<()> {
         let path = self.dir.join("log");
-        let mut bytes = Vec::new();
-        File::open(&path).and_then(|mut f| f.read_to_end(&mut bytes)).map_err(|e| with_path(e, &path))?;
+        let bytes = self.disk.read(&path).map_err(|e| with_path(e, &path))?;
         let (records, _) = scan(&bytes);
         let mut out = Vec::new();
         let kept: Vec<_> = records.iter().filter(|r| r.0 >= keep_from).collect();
@@ -123,12 +124,11 @@
             encode(*seq, payload, &mut out);
         }
         let tmp = self.dir.join("log.tmp");
-        let mut file = File::create(&tmp).map_err(|e| with_path(e, &tmp))?;
-        file.write_all(&out).and_then(|()| file.sync_all()).map_err(|e| with_path(e, &tmp))?;
-        fs::rename(&tmp, &path).map_err(|e| with_path(e, &path))?;
-        sync_dir(&self.dir)?;
-        self.file =
-            OpenOptions::new().read(true).append(true).open(&path).map_err(|e| with_path(e, &path))?;
+        let mut file = self.disk.create(&tmp).map_err(|e| with_path(e, &tmp))?;
+        append_all(&mut *file, &out).and_then(|()| file.sync()).map_err(|e| with_path(e, &tmp))?;
+        self.disk.rename(&tmp, &path).map_err(|e| with_path(e, &path))?;
+        self.disk.sync_dir(&self.dir).map_err(|e| with_path(e, &self.dir))?;
+        self.file = self.disk.open_append(&path).map_err(|e| with_path(e, &path))?;
         self.first = kept.first().map_or(self.next_seq(), |r| r.0);
         self.len = kept.len() as u64;
         self.bytes = out.len() as u64;
