--- a/crates/member/src/raftstore.rs
+++ b/crates/member/src/raftstore.rs
@@ -131,8 +131,10 @@
     /// # Errors
     /// From the store.
     pub fn set_hard(&mut self, hard: &HardState) -> io::Result<()> {
+        // Written first: after an error memory must not hold a vote or a commit that is not on disk.
+        self.write(&Record::Hard { term: hard.term, vote: hard.vote, commit: hard.commit })?;
         self.hard = hard.clone();
-        self.write(&Record::Hard { term: hard.term, vote: hard.vote, commit: hard.commit })
+        Ok(())
     }
 
     /// Keeps a new commit index.
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -89,9 +89,9 @@
         Box::new(FaultyFile { disk: self.clone(), content })
     }
 
-    /// The same disk after a crash: names and contents that are durable, and of what was written after those the
-    /// first bytes, so many.
-    fn after_crash(&self, more: usize) -> FaultyDisk {
+    /// The same disk after a crash: contents that are durable, and of what was written after those the first bytes, so
+    /// many; names that are durable, or those of the moment, which the system may have written by itself.
+    fn after_crash(&self, more: usize, names_of_the_moment: bool) -> FaultyDisk {
         let old = self.state();
         let mut contents = old.contents.clone();
         for content in &mut contents {
@@ -103,7 +103,7 @@
             content.seen = content.durable.clone();
             content.given_up = 0;
         }
-        let names = old.durable_names.clone();
+        let names = if names_of_the_moment { old.names.clone() } else { old.durable_names.clone() };
         let state = State { contents, names: names.clone(), durable_names: names, ..State::default() };
         FaultyDisk(Arc::new(Mutex::new(state)))
     }
@@ -293,7 +293,11 @@
                 assert_eq!(log.next_seq(), before, "{case}: step {step}");
             }
         }
-        model.check(&disk.after_crash(crash_keeps), dir, &format!("{case}, crash after step {step}"));
+        for names_of_the_moment in [false, true] {
+            let crashed = disk.after_crash(crash_keeps, names_of_the_moment);
+            let case = format!("{case}, crash after step {step}, names of the moment {names_of_the_moment}");
+            model.check(&crashed, dir, &case);
+        }
     }
     let state = disk.state();
     (state.calls, state.struck > 0)
@@ -346,6 +350,6 @@
         log.sync().expect("durable");
     }
     drop(log);
-    let opened = Log::open_on(Arc::new(disk.after_crash(0)), dir, 1).expect("opens");
+    let opened = Log::open_on(Arc::new(disk.after_crash(0, false)), dir, 1).expect("opens");
     assert_eq!((opened.records.len(), opened.cut), (6, 0));
 }
