--- /dev/null
+++ b/crates/faultshim/src/real.rs
@@ -0,0 +1,42 @@
+//! The C library's own calls, which this library stands in front of.
+
+use libc::{c_char, c_int, c_void, clockid_t, epoll_event, iovec, sockaddr, socklen_t, ssize_t, timespec};
+use std::sync::atomic::{AtomicPtr, Ordering};
+
+/// The next definition of a name; ends the process where there is none.
+fn next(place: &AtomicPtr<c_void>, name: &'static [u8]) -> *mut c_void {
+    let known = place.load(Ordering::Relaxed);
+    if !known.is_null() {
+        return known;
+    }
+    // SAFETY: the name ends in a zero byte; `RTLD_NEXT` is a handle for this use.
+    let found = unsafe { libc::dlsym(libc::RTLD_NEXT, name.as_ptr().cast::<c_char>()) };
+    if found.is_null() {
+        std::process::abort();
+    }
+    place.store(found, Ordering::Relaxed);
+    found
+}
+
+macro_rules! real {
+    ($($name:ident: fn($($argument:ty),*) -> $result:ty;)*) => {
+        $(pub(crate) fn $name() -> unsafe extern "C" fn($($argument),*) -> $result {
+            static PLACE: AtomicPtr<c_void> = AtomicPtr::new(std::ptr::null_mut());
+            let found = next(&PLACE, concat!(stringify!($name), "\0").as_bytes());
+            // SAFETY: the C library defines this name with this type.
+            unsafe { std::mem::transmute::<*mut c_void, unsafe extern "C" fn($($argument),*) -> $result>(found) }
+        })*
+    };
+}
+
+real! {
+    accept4: fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int;
+    bind: fn(c_int, *const sockaddr, socklen_t) -> c_int;
+    connect: fn(c_int, *const sockaddr, socklen_t) -> c_int;
+    socket: fn(c_int, c_int, c_int) -> c_int;
+    recv: fn(c_int, *mut c_void, usize, c_int) -> ssize_t;
+    send: fn(c_int, *const c_void, usize, c_int) -> ssize_t;
+    writev: fn(c_int, *const iovec, c_int) -> ssize_t;
+    epoll_wait: fn(c_int, *mut epoll_event, c_int, c_int) -> c_int;
+    clock_gettime: fn(clockid_t, *mut timespec) -> c_int;
+}
--- /dev/null
+++ b/crates/faultshim/tests/common/mod.rs
@@ -0,0 +1,131 @@
+//! What the tests with a fault shim share.
+#![allow(dead_code)] // each test file uses its own part of it
+
+use pinetrestle_standins::{
+    config_json, entries_at, eventually, list, query, Client, Discovery, Doing, Program, Server,
+};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// A span in milliseconds.
+pub fn ms(span: u64) -> Duration {
+    Duration::from_millis(span)
+}
+
+/// A file that cargo built beside this test (`cargo test --workspace` builds all of them).
+pub fn built(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("a path");
+    let folder = test.parent().and_then(|deps| deps.parent()).expect("target/debug/deps");
+    let path = folder.join(name);
+    assert!(path.exists(), "{} is not there: cargo build --workspace", path.display());
+    path
+}
+
+/// The front node.
+pub fn node() -> String {
+    built("pinetrestle-node").display().to_string()
+}
+
+/// The wall clock in milliseconds.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
+/// A plan for the shim and the report of what it did.
+pub struct Faults {
+    plan: String,
+    report: tempfile::TempPath,
+}
+
+impl Faults {
+    /// By this plan.
+    pub fn planned(plan: &str) -> Faults {
+        let report = tempfile::NamedTempFile::new().expect("a file").into_temp_path();
+        Faults { plan: plan.to_owned(), report }
+    }
+
+    /// What a shell does so that the next program has them.
+    pub fn shell(&self) -> String {
+        format!(
+            "export FAULTSHIM='{}' FAULTSHIM_REPORT='{}' LD_PRELOAD='{}'",
+            self.plan,
+            self.report.display(),
+            built("libpinetrestle_faultshim.so").display()
+        )
+    }
+
+    /// Faults met so far.
+    pub fn met(&self) -> usize {
+        std::fs::read_to_string(&self.report).expect("a report").lines().count()
+    }
+}
+
+/// Six index servers, discovery, and a front node under faults.
+pub struct Stage {
+    /// The index servers.
+    pub servers: Vec<Server>,
+    /// Discovery.
+    pub discovery: Discovery,
+    /// The front node, ready.
+    pub program: Program,
+    /// Its faults.
+    pub faults: Faults,
+}
+
+impl Stage {
+    /// With this plan and something changed in the configuration.
+    pub fn with(plan: &str, change: impl FnOnce(&mut Value)) -> Stage {
+        let servers: Vec<Server> = (0..6).map(|_| Server::start(Doing::Serving)).collect();
+        let lines = entries_at(servers.iter().map(|server| server.address));
+        let discovery = Discovery::start(lines.clone());
+        let mut config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(1, &lines));
+        change(&mut config);
+        let faults = Faults::planned(plan);
+        let program = Program::start_under(&faults.shell(), &node(), &config);
+        let stage = Stage { servers, discovery, program, faults };
+        eventually("ready", || {
+            status(stage.program.address, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n") == 200
+        });
+        stage
+    }
+}
+
+/// The status of the answer to a request on a connection of its own; 0 where the connection ended without one.
+pub fn status(address: SocketAddr, text: &str) -> u16 {
+    let mut client = Client::to(address);
+    if !client.try_write(text.as_bytes()) {
+        return 0;
+    }
+    client.try_read().map_or(0, |answer| answer.status)
+}
+
+/// Statuses of so many queries, asked one after the other on one connection as long as that lasts.
+pub fn ask(address: SocketAddr, class: &str, shards: &[u32], many: usize) -> Vec<u16> {
+    let mut client = Client::to(address);
+    let mut statuses = Vec::with_capacity(many);
+    for _ in 0..many {
+        let text = query(class, shards, 2000).1;
+        let answer = if client.try_write(text.as_bytes()) { client.try_read() } else { None };
+        statuses.push(answer.as_ref().map_or(0, |answer| answer.status));
+        if answer.is_none() {
+            client = Client::to(address);
+        }
+    }
+    statuses
+}
+
+/// How many of the statuses are this one.
+pub fn count(statuses: &[u16], status: u16) -> usize {
+    statuses.iter().filter(|each| **each == status).count()
+}
+
+/// Lines of these servers, all of them holding every shard, with the time of their start.
+pub fn holders(servers: &[SocketAddr], since_ms: u64) -> Vec<Value> {
+    let mut lines = entries_at(servers.iter().copied());
+    for line in &mut lines {
+        (line["group"], line["since_ms"]) = (json!(0), json!(since_ms));
+    }
+    lines
+}
