Interrupted calls are repeated, and a lack of this machine's own is held against nobody

Cause: every error but WouldBlock of a read or write was taken for the end of the connection (clients.rs read, left, write, part; upstream.rs read, write; discovery.rs through tokio's read and write_all, which hand EINTR on); each failed accept rested 20 ms; a connect that failed for lack of ports, descriptors, buffers or a route ended as the replica's ConnectFailed. Change: system_calls.rs says what an error means; EINTR is repeated; local errors are tried again within the connection's own time and end as moot, held against no replica; an aborted connection in the queue holds up nobody; listening, the runtime and the file of a SIGHUP are tried again.

--- a/crates/faultshim/src/plan.rs
+++ b/crates/faultshim/src/plan.rs
@@ -165,7 +165,7 @@
             let number = rule.calls.fetch_add(1, Ordering::Relaxed);
             let drawn =
                 spread(self.seed ^ spread(number.wrapping_add(place as u64) ^ ((place as u64) << 48)));
-            if drawn % rule.one_in == 0 {
+            if drawn.is_multiple_of(rule.one_in) {
                 self.tell(&rule.word);
                 return Some(rule.fault);
             }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -8,6 +8,7 @@
 use crate::pulse::Pulse;
 use crate::reasons::Reason;
 use crate::shutdown::{reached, Phase, Phases};
+use crate::system_calls::{lacks_room, uninterrupted};
 use pinetrestle::interface::{Effect, Micros};
 use pinetrestle_protocol::query::{self, reason_body};
 use pinetrestle_protocol::requests::{answer_head, Progress, Request, Requests, Unclear};
@@ -25,8 +26,10 @@
 
 /// Bytes of one read.
 pub const READ: usize = 16 * 1024;
-/// How long accepting rests after it has failed, as it does when descriptors run out.
+/// How long accepting rests where the machine has no room for any connection, as when descriptors run out.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
+/// Failures to accept are logged at most this often; all are counted.
+const ACCEPT_LOG_EVERY: Duration = Duration::from_secs(1);
 
 /// Requests of one connection that are turned down as malformed before the connection is ended.
 const MOST_BAD: u32 = 16;
@@ -88,6 +91,7 @@
 pub async fn listen(front: Rc<Front>, listener: TcpListener, mut phases: Phases) {
     let mut closing = phases.clone();
     let mut begun_closing = false;
+    let mut logged_at: Option<Instant> = None;
     loop {
         let most = front.live.get().transport.client_connections as u64;
         let open = front.counters.connections.clients_open.get();
@@ -125,8 +129,15 @@
             }
             Err(error) => {
                 front.counters.connections.accept_failed.one();
-                warn!(front.log, "accepting failed"; "error" => %error);
-                tokio::time::sleep(ACCEPT_REST).await;
+                if logged_at.is_none_or(|at| at.elapsed() >= ACCEPT_LOG_EVERY) {
+                    logged_at = Some(Instant::now());
+                    warn!(front.log, "accepting failed"; "error" => %error,
+                        "all" => front.counters.connections.accept_failed.get());
+                }
+                // One that was aborted in the queue is gone: those behind it are taken at once.
+                if lacks_room(&error) {
+                    tokio::time::sleep(ACCEPT_REST).await;
+                }
             }
         }
         phases.borrow_and_update();
@@ -399,7 +410,7 @@
                 return Err(Reason::IoError);
             }
             let mut scratch = self.front.scratch.borrow_mut();
-            match self.stream.try_read(&mut scratch) {
+            match uninterrupted(|| self.stream.try_read(&mut scratch)) {
                 Ok(0) => {
                     return Err(if self.requests.is_empty() {
                         Reason::ClientClosed
@@ -446,7 +457,7 @@
             return false;
         }
         let mut scratch = self.front.scratch.borrow_mut();
-        match self.stream.try_read(&mut scratch) {
+        match uninterrupted(|| self.stream.try_read(&mut scratch)) {
             Ok(0) => true,
             Ok(count) => {
                 self.bytes_in += count as u64;
@@ -491,7 +502,7 @@
         while done < total {
             let from = done.saturating_sub(head.len());
             let slices = [IoSlice::new(&head[done.min(head.len())..]), IoSlice::new(&answer.body[from..])];
-            match self.stream.try_write_vectored(&slices) {
+            match uninterrupted(|| self.stream.try_write_vectored(&slices)) {
                 Ok(count) => {
                     done += count;
                     self.bytes_out += count as u64;
@@ -522,7 +533,9 @@
                 if self.stream.readable().await.is_err() {
                     return;
                 }
-                let read = self.stream.try_read(&mut self.front.scratch.borrow_mut());
+                let mut scratch = self.front.scratch.borrow_mut();
+                let read = uninterrupted(|| self.stream.try_read(&mut scratch));
+                drop(scratch);
                 match read {
                     Ok(0) => return,
                     Ok(count) => left = left.saturating_sub(count),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::MOST_LEAVING;
 use crate::flight::Flight;
+use crate::system_calls::is_local;
 use pinetrestle_protocol::names::Names;
 use pinetrestle_protocol::registry::{self, News};
 use pinetrestle_settings::fields::{count, field, maybe, text, Fault, Parsed};
@@ -332,6 +333,12 @@
         Config::read(&Config::file_from_environment()?, spoken)
     }
 
+    /// Whether the file can't be opened only because this machine lacks something for a moment, as descriptors.
+    pub(crate) fn file_has_to_wait() -> bool {
+        let opened = std::env::var(FILE).ok().map(std::fs::File::open);
+        matches!(opened, Some(Err(error)) if is_local(&error))
+    }
+
     /// Reads the file that the environment names, completed by the environment.
     pub fn file_from_environment() -> Parsed<Value> {
         let path = std::env::var(FILE).map_err(|_| Fault::new(FILE, "is not set"))?;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -6,6 +6,7 @@
 use crate::messages::Message;
 use crate::patience::within;
 use crate::reasons::Reason;
+use crate::system_calls::{connect, is_local, read, write_all};
 use pinetrestle_protocol::registry::{watch_request, News};
 use pinetrestle_protocol::watch::{Said, Watch};
 use pinetrestle_protocol::watches::{Do, Waits, Watches};
@@ -14,8 +15,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::time::{sleep_until, Instant};
 
@@ -159,21 +158,23 @@
     async fn watch(&mut self) -> Reason {
         // Only what was said whole counts as a sign of life: bytes that drip, or half a line, tell nothing.
         let mut heard = Instant::now();
-        let mut stream = match within(heard + self.patience(), TcpStream::connect(self.address)).await {
+        let until = heard + self.patience();
+        let stream = match within(until, connect(self.address, until)).await {
             None => return Reason::ConnectTimeout,
+            Some(Err(error)) if is_local(&error) => return Reason::NoLocalSocket,
             Some(Err(_)) => return Reason::ConnectRefused,
             Some(Ok(stream)) => stream,
         };
         let names = self.live.get().spoken.names.clone();
         let request = watch_request(&names, &self.address.to_string(), self.after);
-        match within(heard + self.patience(), stream.write_all(&request)).await {
+        match within(heard + self.patience(), write_all(&stream, &request)).await {
             Some(Ok(())) => {}
             _ => return Reason::WriteFailed,
         }
         let mut watch = Watch::new(names);
         let mut buffer = vec![0; READ];
         loop {
-            let count = match within(heard + self.patience(), stream.read(&mut buffer)).await {
+            let count = match within(heard + self.patience(), read(&stream, &mut buffer)).await {
                 None => return if self.lines > 0 { Reason::Silent } else { Reason::NoAnswer },
                 Some(Err(_)) => return Reason::Reset,
                 Some(Ok(0)) => return Reason::EndedByPeer,
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -17,8 +17,8 @@
     Landed(Landed),
     /// Attempts were taken back: nothing of them was written in time.
     Stayed(Vec<Ticket>),
-    /// A connection to an index server has ended.
-    ConnEnded { replica: ReplicaId, number: u64 },
+    /// A connection to an index server has ended; `local` if this machine could not make it, whatever the server does.
+    ConnEnded { replica: ReplicaId, number: u64, local: bool },
     /// Discovery has told something.
     News(News),
     /// The watch has failed or was lost.
--- a/crates/node/src/reasons.rs
+++ b/crates/node/src/reasons.rs
@@ -57,6 +57,7 @@
     ConnectRefused "connect_refused",
     ConnectTimeout "connect_timeout",
     ConnectFailed "connect_failed",
+    NoLocalSocket "no_local_socket",
     AskedAnew "asked_anew",
     NoAnswer "no_answer",
     Silent "silent",
@@ -101,7 +102,10 @@
 
     /// Whether a connection that ended so never came up.
     pub fn never_up(self) -> bool {
-        matches!(self, Reason::ConnectRefused | Reason::ConnectTimeout | Reason::ConnectFailed)
+        matches!(
+            self,
+            Reason::ConnectRefused | Reason::ConnectTimeout | Reason::ConnectFailed | Reason::NoLocalSocket
+        )
     }
 }
 
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -6,8 +6,14 @@
 use serde_json::Value;
 use slog::{info, warn, Logger};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, Notify};
+use tokio::time::{sleep, Instant};
+
+/// How long a file that can't be opened for a local reason is tried, and the wait between two tries.
+const FILE_WITHIN: Duration = Duration::from_secs(2);
+const FILE_WAIT: Duration = Duration::from_millis(20);
 
 /// New configuration files, as they come: the content, or why there is none.
 pub type Reloads = mpsc::Receiver<Parsed<Value>>;
@@ -20,6 +26,11 @@
 /// Reads the file anew at each signal. Signals that come while one is handled count as one.
 pub(crate) async fn at_signals(mut hang_ups: Signal, files: mpsc::Sender<Parsed<Value>>) {
     while hang_ups.recv().await.is_some() {
+        // The signal comes once: descriptors that have run out must not make it go unheard.
+        let until = Instant::now() + FILE_WITHIN;
+        while Config::file_has_to_wait() && Instant::now() < until {
+            sleep(FILE_WAIT).await;
+        }
         if files.send(Config::file_from_environment()).await.is_err() {
             return;
         }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -12,6 +12,7 @@
 use crate::pulse::Pulse;
 use crate::reload::{at_signals, follow, hang_ups, Reloads};
 use crate::shutdown::{Phase, StopSignals};
+use crate::system_calls::{is_local, listen as listen_at};
 use crate::upstream::Pools;
 use clap::Parser;
 use pinetrestle::interface::{Id, Micros, ReplicaId};
@@ -25,7 +26,6 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::task::LocalSet;
 use tokio::time::{sleep_until, timeout, Instant};
@@ -33,6 +33,12 @@
 /// Messages that may wait for the core; whoever has one more waits.
 const MOST_MESSAGES: usize = 1024;
 
+/// How long the program tries to listen and to get what it runs on, where the machine lacks something for a moment.
+const LISTEN_WITHIN: Duration = Duration::from_secs(5);
+
+/// Between two tries to get the runtime.
+const RUNTIME_WAIT: Duration = Duration::from_millis(20);
+
 /// Turns that other tasks get after a pause before anything is decided: from discovery's socket by its connection's
 /// task and that of the watches to the core, and one to spare.
 const HOPS_AFTER_PAUSE: usize = 4;
@@ -129,10 +135,14 @@
                 self.pools.landed(landed.ticket);
                 self.host.landed(now, landed);
             }
-            Message::ConnEnded { replica, number } => {
+            Message::ConnEnded { replica, number, local } => {
                 let lost = self.pools.ended(replica, number);
                 for (ticket, written) in lost.out {
-                    self.host.lost(now, ticket, written);
+                    if local {
+                        self.host.stayed(now, ticket);
+                    } else {
+                        self.host.lost(now, ticket, written);
+                    }
                 }
                 // Nothing of these was sent: they still can be, if their index server is still to get any.
                 for parts in lost.unsent {
@@ -235,7 +245,7 @@
     stop: impl Future<Output = ()>,
 ) -> std::io::Result<()> {
     let Told { reloads, write_records } = told;
-    let listener = TcpListener::bind(config.listen).await?;
+    let listener = listen_at(config.listen, Instant::now() + LISTEN_WITHIN).await?;
     let listens_at = listener.local_addr()?;
     let (start, wall) = (Instant::now(), SystemTime::now());
     let epoch = wall.duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64;
@@ -342,12 +352,23 @@
     Ok(())
 }
 
+/// The runtime; where the machine has no descriptors or memory for it, tried again for a while.
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    let until = Instant::now() + LISTEN_WITHIN;
+    loop {
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        match builder.enable_all().max_blocking_threads(1).build() {
+            Err(error) if is_local(&error) && Instant::now() < until => std::thread::sleep(RUNTIME_WAIT),
+            result => return result,
+        }
+    }
+}
+
 /// The whole program: configuration from the environment, log on standard output, SIGHUP to read the
 /// configuration anew, SIGUSR1 to write the flight recorder's ring out, SIGTERM to stop.
 pub fn main_from_environment() -> ExitCode {
     let arguments = Arguments::parse();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().max_blocking_threads(1).build();
-    let runtime = match runtime {
+    let runtime = match runtime() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("pinetrestle-node: no runtime: {error}");
--- /dev/null
+++ b/crates/node/src/system_calls.rs
@@ -0,0 +1,115 @@
+//! System calls that fail for a moment: which errors mean what, and the calls that are tried again.
+//!
+//! An error of a socket call says one of three things: the call was interrupted and has done nothing; this machine lacks
+//! something for a moment (ports, descriptors, buffers, a route), which tells nothing of the peer; or the connection is
+//! over. The first two are tried again here, the second within a bound. `docs/design/machine-faults.md` lists the calls.
+
+use rustix::io::Errno;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, Instant};
+
+/// The first wait before a call that this machine could not do is tried again; it doubles each time.
+const FIRST_WAIT: Duration = Duration::from_millis(2);
+/// The longest of these waits.
+const LONGEST_WAIT: Duration = Duration::from_millis(50);
+
+/// Repeats a call as long as a signal interrupts it.
+pub(crate) fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
+/// Whether a call failed because this machine lacks something for the moment, and not because of its peer.
+pub(crate) fn is_local(error: &io::Error) -> bool {
+    let local = [
+        Errno::ADDRINUSE,
+        Errno::ADDRNOTAVAIL,
+        Errno::AGAIN,
+        Errno::INTR,
+        Errno::MFILE,
+        Errno::NETDOWN,
+        Errno::NETUNREACH,
+        Errno::NFILE,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+    ];
+    Errno::from_io_error(error).is_some_and(|errno| local.contains(&errno))
+}
+
+/// Whether accepting failed because this machine has no room for any connection; else only the connection that was
+/// accepted is gone, and the next one may be taken at once.
+pub(crate) fn lacks_room(error: &io::Error) -> bool {
+    let room = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+    Errno::from_io_error(error).is_some_and(|errno| room.contains(&errno))
+}
+
+/// Does something again as long as it fails for a local reason, until a moment has passed; then its last error stands.
+pub(crate) async fn until_done<T, F: Future<Output = io::Result<T>>>(
+    until: Instant,
+    mut call: impl FnMut() -> F,
+) -> io::Result<T> {
+    let mut wait = FIRST_WAIT;
+    loop {
+        match call().await {
+            Err(error) if is_local(&error) && Instant::now() + wait < until => {}
+            result => return result,
+        }
+        sleep(wait).await;
+        wait = (wait * 2).min(LONGEST_WAIT);
+    }
+}
+
+/// Connects, trying again while this machine has no port, descriptor, buffer or route for it.
+///
+/// # Errors
+/// As `connect(2)`; a local one only once `until` is as good as over.
+pub(crate) async fn connect(address: SocketAddr, until: Instant) -> io::Result<TcpStream> {
+    until_done(until, || TcpStream::connect(address)).await
+}
+
+/// Listens, trying again while this machine does not let it.
+///
+/// # Errors
+/// As `bind(2)` and `listen(2)`; a local one only once `until` is as good as over.
+pub(crate) async fn listen(address: SocketAddr, until: Instant) -> io::Result<TcpListener> {
+    until_done(until, || TcpListener::bind(address)).await
+}
+
+/// Reads what comes next; 0 bytes are the end.
+///
+/// # Errors
+/// As `recv(2)`, but for an interruption.
+pub(crate) async fn read(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        match uninterrupted(|| stream.try_read(buffer)) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            result => return result,
+        }
+    }
+}
+
+/// Writes all of the bytes.
+///
+/// # Errors
+/// As `send(2)`, but for an interruption.
+pub(crate) async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        stream.ready(Interest::WRITABLE).await?;
+        match uninterrupted(|| stream.try_write(bytes)) {
+            Ok(count) => bytes = &bytes[count..],
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -6,6 +6,7 @@
 use crate::messages::Message;
 use crate::patience::within;
 use crate::reasons::Reason;
+use crate::system_calls::{connect, is_local, uninterrupted};
 use pinetrestle::interface::ReplicaId;
 use pinetrestle_protocol::frames::End;
 use pinetrestle_protocol::link::{Heard, Link, Lost, Sending, Ticket, Wrote};
@@ -267,8 +268,9 @@
         let begun = Instant::now();
         let (mut bytes_in, mut bytes_out) = (0, 0);
         let until = begun + self.live.get().transport.connect;
-        let reason = match within(until, TcpStream::connect(address)).await {
+        let reason = match within(until, connect(address, until)).await {
             None => Reason::ConnectTimeout,
+            Some(Err(error)) if is_local(&error) => Reason::NoLocalSocket,
             Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reason::ConnectRefused,
             Some(Err(_)) => Reason::ConnectFailed,
             Some(Ok(stream)) => self.serve(&stream, &mut bytes_in, &mut bytes_out).await,
@@ -287,7 +289,11 @@
         // The receiver is there as long as the program serves.
         let _ = self
             .to_core
-            .send(Message::ConnEnded { replica: self.conn.replica, number: self.conn.number })
+            .send(Message::ConnEnded {
+                replica: self.conn.replica,
+                number: self.conn.number,
+                local: reason == Reason::NoLocalSocket,
+            })
             .await;
     }
 
@@ -369,7 +375,7 @@
     ) -> Option<Reason> {
         let link = &self.conn.link;
         for _ in 0..MOST_READS {
-            let read = stream.try_read(&mut self.scratch.borrow_mut());
+            let read = uninterrupted(|| stream.try_read(&mut self.scratch.borrow_mut()));
             match read {
                 Ok(0) => {
                     let inside = link.borrow().within_frame();
@@ -441,7 +447,7 @@
                 }
                 let mut slices: Vec<IoSlice<'_>> = Vec::new();
                 link.gather(&mut slices, MOST_SLICES);
-                stream.try_write_vectored(&slices)
+                uninterrupted(|| stream.try_write_vectored(&slices))
             };
             match wrote {
                 Ok(count) => {
