--- a/crates/faultshim/tests/machine.rs
+++ b/crates/faultshim/tests/machine.rs
@@ -3,10 +3,13 @@
 
 mod common;
 
-use common::{ask, count, ms, status, Stage};
-use pinetrestle_standins::query;
+use common::{ask, count, holders, ms, node, status, wall_ms, Faults, Stage};
+use pinetrestle_standins::{config_json, eventually, list, query, Discovery, Program, Stamping, Work};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 #[test]
 fn interrupted_calls_end_no_connection_and_lose_no_request() {
@@ -55,3 +58,88 @@
         assert_eq!(stage.program.count(&["condemned"]), 0, "{error}");
     }
 }
+
+#[test]
+fn a_front_node_that_cannot_listen_at_once_tries_again() {
+    for plan in ["bind=EADDRINUSE/1/0/400", "socket=ENFILE/1/0/400", "bind=ENOBUFS/1/0/400"] {
+        let stage = Stage::with(plan, |_| {});
+        assert!(stage.faults.met() > 0, "{plan}: no fault was met");
+        assert_eq!(count(&ask(stage.program.address, "any", &[0, 1, 2], 3), 200), 3, "{plan}");
+    }
+}
+
+/// Three holders of one shard, a front node whose wall clock is off by so much, and discovery.
+fn with_clock_off(offset_ms: i64, takes: Duration) -> (Vec<Stamping>, Discovery, Program, Vec<SocketAddr>) {
+    let work = Work { takes: vec![takes], ..Work::default() };
+    let servers: Vec<Stamping> = (0..3).map(|_| Stamping::start(work.clone())).collect();
+    let addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
+    // They started a minute ago, by the true clock: warm.
+    let lines = holders(&addresses[..2], wall_ms() - 60_000);
+    let discovery = Discovery::start(lines.clone());
+    let mut config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(1, &lines));
+    config["settings"]["rules"]["cold_share"] = json!(0.1);
+    let faults = Faults::planned(&format!("realtime={offset_ms}"));
+    let program = Program::start_under(&faults.shell(), &node(), &config);
+    eventually("ready", || program.get("/health/ready").0 == 200);
+    (servers, discovery, program, addresses)
+}
+
+#[test]
+fn a_wall_clock_that_is_behind_makes_no_warm_server_cold() {
+    for behind_ms in [5_000, 70_000, 3_600_000] {
+        let (_servers, _discovery, program, _) = with_clock_off(-behind_ms, ms(20));
+        // The first second of a front node's life belongs to the protection of cold servers; after five all are warm,
+        // whatever the clocks say.
+        thread::sleep(ms(5200));
+        let begun = Instant::now();
+        let askers: Vec<_> = (0..12)
+            .map(|_| {
+                let address = program.address;
+                thread::spawn(move || ask(address, "all", &[0], 20))
+            })
+            .collect();
+        let statuses: Vec<u16> =
+            askers.into_iter().flat_map(|asker| asker.join().expect("no panic")).collect();
+        assert_eq!(count(&statuses, 200), 240, "{behind_ms} ms behind: {statuses:?}");
+        // Warm they take half a second; as cold ones they would get 14 parts a second.
+        assert!(begun.elapsed() < ms(3000), "{behind_ms} ms behind: {:?}", begun.elapsed());
+    }
+}
+
+#[test]
+fn a_wall_clock_that_is_off_lets_no_cold_server_be_pushed_over() {
+    const WORK: u64 = 20;
+    for off_ms in [-3_600_000, -4_000, 4_000, 3_600_000] {
+        let (servers, discovery, program, addresses) = with_clock_off(off_ms, ms(WORK));
+        let over = AtomicBool::new(false);
+        let begun = thread::scope(|scope| {
+            for _ in 0..8 {
+                scope.spawn(|| {
+                    while !over.load(Ordering::Relaxed) {
+                        ask(program.address, "all", &[0], 1);
+                    }
+                });
+            }
+            thread::sleep(ms(1500));
+            // The third starts now, by the true clock.
+            let mut lines = holders(&addresses, wall_ms() - 60_000);
+            lines[2]["since_ms"] = json!(wall_ms());
+            let begun = Instant::now();
+            discovery.tell(lines);
+            thread::sleep(ms(4000));
+            over.store(true, Ordering::Relaxed);
+            begun
+        });
+        let parts = servers[2].seen().into_iter().filter(|seen| !seen.parts.is_empty());
+        let moments: Vec<u64> = parts.map(|seen| seen.at.duration_since(begun).as_millis() as u64).collect();
+        // The settings: a tenth of a core at first, warm after 5 s; three times that falls it within 1 s.
+        for (place, from) in moments.iter().enumerate() {
+            let within = moments[place..].iter().take_while(|at| **at < from + 1000).count() as f64;
+            let warmth = (0.1 + 0.9 * *from as f64 / 5000.0).min(1.0);
+            let calls = 3.0 * warmth * 1000.0 / WORK as f64;
+            let most = calls + 2.0 * calls.sqrt() + 2.0;
+            assert!(within <= most, "{off_ms} ms off: {within} of {most} in the second from {from} ms");
+        }
+        assert!(moments.len() >= 10, "{off_ms} ms off: it comes to be used: {}", moments.len());
+    }
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -711,6 +711,34 @@
     assert!((25..=26).contains(&first.unwrap_or(0)), "{first:?}");
 }
 
+#[test]
+fn what_comes_right_after_a_standstill_is_read_before_anything_is_sent() {
+    let mut world = World::new(settings(), 8);
+    world.warm_up(20);
+    // Two of eight replicas owe an answer, far less than half, and nothing at all comes for 250 ms, where a part takes
+    // 100: whatever all depend on stood still. What comes first after it may be the first of many, and the close of the
+    // client that asked may stand right behind its query.
+    let (asked, actions) = world.query(0, &[0, 1]);
+    assert_eq!(sends(&actions).len(), 2);
+    world.now = world.now + ms(250);
+    let (left, actions) = world.query(0, &[2]);
+    assert_eq!(sends(&actions), []);
+    let failed = world.ended(asked + 1, 0, Outcome::Error);
+    assert_eq!(sends(&world.tell(vec![failed])), [], "no repeat either");
+    world.now = world.now + ms(1);
+    assert_eq!(sends(&world.tell(vec![Event::ClientGone(left)])), []);
+    let (stays, actions) = world.query(0, &[3]);
+    assert_eq!(sends(&actions), []);
+    let sent: Vec<Id> = sends(&world.wait(ms(10))).iter().map(|(part, _)| *part).collect();
+    assert!(sent.contains(&(stays + 1)) && sent.contains(&(asked + 1)) && sent.len() == 2, "{sent:?}");
+    // From then on queries go out as they come, and so they do where one replica alone is silent.
+    assert_eq!(sends(&world.query(0, &[2]).1).len(), 1);
+    world.end_all(Outcome::Ok, |_| true);
+    world.query(0, &[0]);
+    world.now = world.now + ms(250);
+    assert_eq!(sends(&world.query(0, &[3]).1).len(), 1);
+}
+
 #[test]
 fn a_silence_of_all_that_lasts_is_copied_into_at_half_the_aim() {
     let mut world = World::new(settings(), 4);
