What comes first after a standstill waits until what comes behind it is read

The wait for that, listen() and settles() in src/logic.rs, took only a silence of more than half of the replicas for one. Change: where two replicas or more owe an answer for longer than parts take and nothing came from any client or replica in that span, first attempts and further ones wait 10 ms (SETTLE, as before) from the first event on.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -89,7 +89,9 @@
     died_at: Option<Micros>, // when a replica was last found dying or dead
     heard: Micros,           // when any replica last answered or dropped anything
     hush: (Micros, Micros),  // the latest silence of all: from when till when
-    actions: Vec<Action>,    // decided in this batch
+    outside: Micros, // when anything last came: a query, an answer, the end of a connection or of a client
+    settled: Micros, // until then what came first after a standstill waits for what comes behind it
+    actions: Vec<Action>, // decided in this batch
 }
 
 impl FrontNode {
@@ -120,7 +122,7 @@
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
         self.round += 1;
-        self.listen();
+        self.listen(events);
         for event in events {
             self.absorb(event);
         }
@@ -308,7 +310,10 @@
     /// any for longer than parts take. Then this machine, the network or whatever all depend on stands still,
     /// and what is sent into it is read when it is over: nobody is late by it. Covers pauses of everything;
     /// hurts where more than half of the replicas fall silent for good and all else is at rest.
-    fn listen(&mut self) {
+    ///
+    /// A standstill that ends now: two replicas or more owe an answer, and for longer than parts take nothing came
+    /// from anybody, clients included. What comes first after it may be the first of many.
+    fn listen(&mut self, events: &[Event]) {
         let on = |id: &ReplicaId| self.replicas.get(id).is_some_and(|r| r.lifecycle == Lifecycle::On);
         let mut owing: BTreeMap<ReplicaId, Micros> = BTreeMap::new();
         let mut usual = Micros(0);
@@ -319,11 +324,19 @@
         }
         let mut since: Vec<Micros> = owing.into_values().collect();
         since.sort_unstable();
+        let longer_than_usual = |from: &Micros| self.now - *from > usual.times(HUSH);
         let half = self.replicas.keys().filter(|id| on(id)).count() / 2;
         let from = since.get(half).map(|since| self.heard.max(*since));
-        if let Some(from) = from.filter(|from| self.now - *from > usual.times(HUSH)) {
+        if let Some(from) = from.filter(longer_than_usual) {
             self.hush = (from, self.now);
         }
+        if events.iter().any(comes_from_outside) {
+            let standstill = since.get(1).map(|since| self.outside.max(*since)).filter(longer_than_usual);
+            if standstill.is_some() {
+                self.settled = self.now + SETTLE;
+            }
+            self.outside = self.now;
+        }
     }
 
     /// How long something has lasted, but for a silence of all.
@@ -507,10 +520,14 @@
     }
 
     /// In a silence of all and just after it a new query waits, for a quarter of its aim at most: none reads
-    /// what is sent, and of the clients whose queries come in a bunch after it some have left by then.
+    /// what is sent, and of the clients whose queries come in a bunch after it some have left by then. Right after a
+    /// standstill every query waits, also with what it would send again.
     fn settles(&mut self, query: &Query) -> bool {
-        let until = (self.hush.1 + SETTLE).min(query.came + self.latest_copy(query.class * 2).times(0.5));
-        let waits = self.hush.1 > Micros(0) && self.now < until.min(self.stop_at(query));
+        let new = !query.admitted && self.hush.1 > Micros(0);
+        let latest = query.came + self.latest_copy(query.class * 2).times(0.5);
+        let silence = if new { (self.hush.1 + SETTLE).min(latest) } else { Micros(0) };
+        let until = silence.max(self.settled).min(self.stop_at(query));
+        let waits = self.now < until;
         if waits {
             self.actions.push(Action::Timer(until - self.now));
         }
@@ -564,6 +581,9 @@
             return self.give_up(query);
         }
         self.cancel_open(query, true);
+        if self.settles(query) {
+            return true;
+        }
         let young = |flight: &Flight| self.now - flight.sent < typical.times(LEAST_TIME);
         let waits = |flight: &Flight| flight.query == query.number && young(flight);
         if !wary || !self.flights.values().any(waits) {
@@ -800,3 +820,14 @@
         false
     }
 }
+
+/// Whether an event was brought about by a client or a replica, and not by our own clock or choice.
+fn comes_from_outside(event: &Event) -> bool {
+    match event {
+        Event::Query { .. } | Event::ClientGone(_) => true,
+        Event::AttemptEnded { outcome, .. } => {
+            !matches!(outcome, Outcome::Timeout | Outcome::Cancelled | Outcome::Moot)
+        }
+        _ => false,
+    }
+}
