Starts of index servers are dated by what discovery tells, not by our wall clock

Cause: serve_reloading took the difference of wall and monotonic clock once, and Roster::news dated every start with it: an hour behind, all starts lie in the future and servers stay cold for an hour; seconds ahead, a server that has just started counts as warm. Change: start_times.rs; each start told bounds the epoch from below, the tightest bound dates starts heard while we run, the wall clock only the first list and never into the future. Embedding: Host::news takes the moment.

--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -9,6 +9,7 @@
 mod carry;
 pub mod data;
 mod roster;
+mod start_times;
 mod table;
 
 pub use data::{Ask, NotTaken, Order, Peer, Reply};
@@ -198,8 +199,8 @@
     }
 
     /// Discovery has told something, or this is what was last known before the start.
-    pub fn news(&mut self, news: &News, stored: bool) {
-        let (lines, retired) = self.roster.news(news);
+    pub fn news(&mut self, now: Micros, news: &News, stored: bool) {
+        let (lines, retired) = self.roster.news(now, news, stored);
         self.orders.extend(retired.into_iter().map(Order::Retire));
         if news.whole {
             self.events.push(Event::List { replicas: lines, stored });
@@ -235,6 +236,11 @@
         self.roster.peer_in_service(replica)
     }
 
+    /// When a replica of this name last started, by the host's clock, as far as that is known.
+    pub fn started(&self, name: &str) -> Option<Micros> {
+        self.roster.started(name)
+    }
+
     /// Whether there is anyone to send to.
     pub fn can_serve(&self) -> bool {
         self.roster.can_serve()
--- a/crates/node/src/host/roster.rs
+++ b/crates/node/src/host/roster.rs
@@ -1,6 +1,7 @@
 //! The roster of index servers: which number each has, where it is, and what of those that left is remembered.
 
 use super::data::Peer;
+use super::start_times::StartTimes;
 use pinetrestle::interface::{Lifecycle, Listed, Micros, ReplicaId};
 use pinetrestle_protocol::registry::{News, Status};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -19,8 +20,7 @@
 }
 
 pub(super) struct Roster {
-    /// Unix time, in microseconds, at the moment from which [`Micros`] count here.
-    epoch: i64,
+    starts: StartTimes,
     replicas: BTreeMap<ReplicaId, Known>,
     names: HashMap<String, ReplicaId>,
     next_replica: ReplicaId,
@@ -30,11 +30,13 @@
 impl Roster {
     pub(super) fn new(epoch: i64) -> Roster {
         let (replicas, names) = (BTreeMap::new(), HashMap::new());
-        Roster { epoch, replicas, names, next_replica: 0, departures: 0 }
+        Roster { starts: StartTimes::new(epoch), replicas, names, next_replica: 0, departures: 0 }
     }
 
-    /// Takes what discovery told: the lines for the module, and who is to get nothing new by that.
-    pub(super) fn news(&mut self, news: &News) -> (Vec<Listed>, Vec<ReplicaId>) {
+    /// Takes what discovery told, or what was stored of it before this process began: the lines for the module, and who
+    /// is to get nothing new by that.
+    pub(super) fn news(&mut self, now: Micros, news: &News, stored: bool) -> (Vec<Listed>, Vec<ReplicaId>) {
+        self.starts.news(now, news.entries.iter().map(|entry| entry.since_ms));
         let (mut lines, mut retired) = (Vec::with_capacity(news.entries.len()), Vec::new());
         let mut named = HashSet::new();
         for entry in &news.entries {
@@ -43,14 +45,18 @@
                 Status::Draining => Lifecycle::Draining,
                 Status::Removed => Lifecycle::Gone,
             };
-            // Unix time to ours by a difference that never changes: the same start stays the same moment.
-            let started = (entry.since_ms > 0).then(|| Micros(entry.since_ms * 1000 - self.epoch));
             let replica = match self.names.get(&entry.name) {
                 Some(replica) => *replica,
                 // Of what leaves without ever having been there, nothing need be known.
                 None if lifecycle == Lifecycle::Gone => continue,
                 None => self.next_replica,
             };
+            // The same start stays the same moment, whatever else is learned of clocks.
+            let known = self.replicas.get(&replica).filter(|known| known.peer.since_ms == entry.since_ms);
+            let started = match known {
+                Some(known) => known.line.started,
+                None => self.starts.date(entry.since_ms),
+            };
             let line = Listed { replica, cell: entry.cell, size: entry.weight, lifecycle, started };
             let known = self.replicas.entry(replica).or_insert_with(|| {
                 self.names.insert(entry.name.clone(), replica);
@@ -79,6 +85,7 @@
                 retired.extend(self.leave(replica));
             }
         }
+        self.starts.taken(stored);
         self.forget_left();
         (lines, retired)
     }
@@ -126,6 +133,11 @@
         }
     }
 
+    /// When the replica of this name last started, as far as that is known.
+    pub(super) fn started(&self, name: &str) -> Option<Micros> {
+        self.replicas.get(self.names.get(name)?)?.line.started
+    }
+
     /// Where a replica is, as long as it is known.
     pub(super) fn peer(&self, replica: ReplicaId) -> Option<&Peer> {
         self.replicas.get(&replica).map(|known| &known.peer)
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -153,7 +153,7 @@
                 self.pools.stayed(&tickets);
                 tickets.into_iter().for_each(|ticket| self.host.stayed(now, ticket));
             }
-            Message::News(news) => self.host.news(&news, false),
+            Message::News(news) => self.host.news(now, &news, false),
             Message::NewsFailed => self.host.news_failed(),
             Message::StopBy(at) => {
                 self.stopping = true;
@@ -265,7 +265,7 @@
     let deployment = Rc::new(config.deployment.clone());
     let host = Host::new(deployment, counters.clone(), config.seed, epoch, Micros(0));
     let mut host = host.with_names(&config.spoken.names.bodies);
-    host.news(&config.known, true);
+    host.news(Micros(0), &config.known, true);
     let moved = Rc::new(Notify::new());
     let (source, index) = (config.discovery, config.known.index);
     let live = Rc::new(Live::new(config));
