The first part of a second step goes 1 ms ahead; rules are checked as the node runs

Cause and change of the first: host and link sent all parts of a second step in one turn; Sending::from holds the others back on the connection for SECOND_STEP_LEAD, still to be taken back. Checks (crates/node/src/invariants.rs): a part begun after its query's end, to a server out of service or too late; a repeat that may run twice (not sent then); a connection closed with a request unanswered. Counted under violations, noted by the recorder, logged. Counters of retries by what went before and of connection ends by side and reason, in /stats. Embedding: Sending has query and from, Wrote::Begun the part, Order::Barred.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::config::Live;
 use crate::counters::Counters;
 use crate::host::{Ask, NotTaken, Reply};
+use crate::invariants::{Invariants, Owed};
 use crate::messages::Message;
 use crate::patience::within;
 use crate::pulse::Pulse;
@@ -75,6 +76,8 @@
     pub resting: Resting,
     /// Notes what becomes of each query.
     pub recorder: Rc<Recorder>,
+    /// Checks that each request that was read is answered.
+    pub(crate) invariants: Rc<Invariants>,
     /// Tells how long a request may have waited before it was read.
     pub pulse: Rc<Pulse>,
     /// Rung when a connection has ended.
@@ -265,6 +268,7 @@
         } else {
             front.free_a_place();
         }
+        front.counters.ends.one("client", reason.code());
         info!(front.log, "connection ended"; "side" => "client", "peer" => %peer,
             "age_ms" => begun.elapsed().as_millis() as u64, "requests" => client.served,
             "in" => client.bytes_in, "out" => client.bytes_out, "reason" => %reason);
@@ -278,13 +282,26 @@
         let Some(request) = self.requests.request() else { return Err(Reason::IoError) };
         let keeps = request.keeps_alive();
         let asked = self.front.read(&request, arrived);
+        let key = match &asked {
+            Asked::Query(ask) => key_of(&ask.trace),
+            Asked::Answered(_) => 0,
+        };
+        let owed = Owed::new(self.front.invariants.clone(), key);
         let (answer, query) = match asked {
             Asked::Answered(answer) => (answer, None),
             Asked::Query(ask) => {
                 let query = key_of(&ask.trace);
                 let age = || Record::of(Step::Read, query).with(arrived.elapsed().as_micros() as u64);
                 self.front.recorder.note(age);
-                (self.put(*ask, query).await?, Some(query))
+                match self.put(*ask, query).await {
+                    Ok(answer) => (answer, Some(query)),
+                    Err(over) => {
+                        if over.is_peers() {
+                            owed.settled();
+                        }
+                        return Err(over);
+                    }
+                }
             }
         };
         self.requests.finish();
@@ -300,6 +317,9 @@
             let step = if written.is_ok() { Step::ReplyWritten } else { Step::ReplyFailed };
             self.front.recorder.note(|| Record::of(step, query).with(status));
         }
+        if written.err().is_none_or(Reason::is_peers) {
+            owed.settled();
+        }
         written?;
         if !keeps {
             return Err(Reason::ClosedAsAsked);
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -1,7 +1,8 @@
 //! What the front node has taken in, sent and answered.
 
 use serde_json::{json, Map, Value};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 
 /// One count.
 #[derive(Debug, Default)]
@@ -173,6 +174,59 @@
     }
 }
 
+group! {
+    /// Rules of the node's own that were found broken as it ran: anything over 0 is a defect.
+    Violations {
+        /// A part begun after its query's final answer, or after its client was found to have left.
+        sent_after_end,
+        /// A part begun to an index server that drains or has left.
+        sent_out_of_service,
+        /// A second attempt of a part that may have run and may not be repeated; it was not sent.
+        repeated_in_vain,
+        /// A part begun after the time for it, or its repeat window, was over.
+        sent_too_late,
+        /// A connection ended by us with a request read and no final answer.
+        closed_unanswered,
+    }
+}
+
+group! {
+    /// Further attempts, by how the part's latest attempt had ended, or that it had not.
+    Retries {
+        /// While another was out.
+        hedge,
+        /// After an error.
+        after_error,
+        /// After it was turned away.
+        after_full,
+        /// After a time-out.
+        after_timeout,
+        /// After no connection came up.
+        after_connect_failed,
+        /// After its connection ended.
+        after_reset,
+        /// After it was cancelled.
+        after_cancelled,
+        /// After it was taken back unsent.
+        after_moot,
+    }
+}
+
+/// Ends of connections by side and reason.
+#[derive(Debug, Default)]
+pub struct Ends(RefCell<BTreeMap<&'static str, BTreeMap<&'static str, u64>>>);
+
+impl Ends {
+    /// One more.
+    pub fn one(&self, side: &'static str, reason: &'static str) {
+        *self.0.borrow_mut().entry(side).or_default().entry(reason).or_default() += 1;
+    }
+
+    fn report(&self) -> Value {
+        json!(*self.0.borrow())
+    }
+}
+
 /// All counts.
 #[derive(Debug, Default)]
 pub struct Counters {
@@ -186,6 +240,12 @@
     pub discovery: Discovery,
     /// The front node itself.
     pub own: Own,
+    /// Rules found broken.
+    pub violations: Violations,
+    /// Why parts were tried again.
+    pub retries: Retries,
+    /// Why connections ended.
+    pub ends: Ends,
 }
 
 impl Counters {
@@ -204,6 +264,9 @@
             "connections": self.connections.report(),
             "discovery": self.discovery.report(),
             "own": self.own.report(),
+            "violations": self.violations.report(),
+            "retries": self.retries.report(),
+            "ends": self.ends.report(),
         })
     }
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -49,7 +49,7 @@
 impl Discovery {
     /// Watches whenever asked to, until nobody asks any more.
     pub async fn run(mut self, mut asked: mpsc::Receiver<()>) {
-        let (says, mut heard) = mpsc::channel(MOST_LINES);
+        let (says, mut heard) = mpsc::channel::<Heard>(MOST_LINES);
         let start = Instant::now();
         // Of each watch that was begun; dropped, it ends.
         let mut begun: HashMap<u64, oneshot::Sender<()>> = HashMap::new();
@@ -73,7 +73,8 @@
                         self.count(&said);
                         self.watches.said(number, said)
                     }
-                    Err(_) => {
+                    Err(reason) => {
+                        self.counters.ends.one("discovery", reason.code());
                         begun.remove(&number);
                         self.watches.ended(start.elapsed(), number, waits(&self.live.get()))
                     }
--- a/crates/node/src/host/carry.rs
+++ b/crates/node/src/host/carry.rs
@@ -9,6 +9,7 @@
 use pinetrestle_protocol::frames::{part_id, second_step_list, Score};
 use pinetrestle_protocol::link::Sending;
 use pinetrestle_protocol::query::answer_body;
+use pinetrestle_recorder::key_of;
 use std::collections::HashMap;
 
 impl Host {
@@ -61,10 +62,16 @@
         counts.sent.one();
         counts.out.one();
         let held = self.table.parts.get_mut(&part);
-        let held = held.and_then(|part| Some((self.table.queries.get(&part.query)?, part)));
+        let held = held.and_then(|part| Some((self.table.queries.get_mut(&part.query)?, part)));
         let (left, number, sending) = match held {
             Some((query, held)) => {
                 let number = held.attempts;
+                let effect = self.deployment.settings.classes.get(query.class).map(|class| class.effect);
+                let barred = effect.is_some_and(|effect| held.is_barred(effect));
+                if barred {
+                    self.orders.push(Order::Barred(query.trace.clone()));
+                }
+                held.count_retry(&self.counters.retries);
                 held.attempts += 1;
                 counts.further.more(u64::from(number > 0));
                 counts.hedges.more(u64::from(held.out > 0));
@@ -72,15 +79,28 @@
                 let left = query.end_at - now;
                 let timeout = if timeout == Micros(0) { left } else { timeout.min(left) };
                 let second_step = (held.step == 2).then_some(self.names.second_step.as_str());
+                let key = key_of(&query.trace);
                 let id = part_id(&query.trace, held.shard, second_step);
                 let list = format!("{}{}", query.key_list, query.list);
                 let (shard, text) = (held.shard, query.text.clone());
                 let until = (now + timeout).0.max(0) as u64;
-                let fits = number < most && left > Micros(0);
+                let from = if held.step == 2 { query.second_step_from(now) } else { now };
+                let from = from.0.max(0) as u64;
+                let fits = number < most && left > Micros(0) && !barred;
                 (
                     timeout,
                     number,
-                    fits.then_some(Sending { ticket: 0, id, shard, list, text, until, by: None }),
+                    fits.then_some(Sending {
+                        ticket: 0,
+                        query: key,
+                        id,
+                        shard,
+                        list,
+                        text,
+                        until,
+                        by: None,
+                        from,
+                    }),
                 )
             }
             None => (Micros(0), 0, None),
--- a/crates/node/src/host/data.rs
+++ b/crates/node/src/host/data.rs
@@ -78,6 +78,8 @@
     Retire(ReplicaId),
     /// Ask discovery for the list and a watch on it.
     Watch,
+    /// An attempt of this query was not sent: an earlier one may have run, and the part may not be repeated. A defect.
+    Barred(String),
     /// A line for the operators' log.
     Remark(String),
     /// Attempts are out of a query that was over before the last turn: a defect.
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -123,7 +123,8 @@
         let id = self.fresh_id();
         self.events.push(Event::Part { id, number: held.number, shard, weight, hint });
         let step = held.step;
-        let part = PartHeld { query, shard, step, attempts: 0, out: 0, value: None };
+        let (attempts, out, value, latest) = (0, 0, None, None);
+        let part = PartHeld { query, shard, step, attempts, out, value, latest, may_have_run: false };
         self.table.parts.insert(id, part);
         held.parts.push(id);
     }
@@ -178,6 +179,9 @@
         let Some(out) = self.book.end(ticket) else { return false };
         if let Some(part) = self.table.parts.get_mut(&out.part) {
             part.out -= 1;
+            part.latest = Some(outcome);
+            let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+            part.may_have_run |= !never_ran;
         }
         self.roster.ended(out.replica);
         let counts = &self.counters.attempts;
@@ -241,6 +245,11 @@
         self.roster.started(name)
     }
 
+    /// Who is in service.
+    pub fn in_service(&self) -> impl Iterator<Item = ReplicaId> + '_ {
+        self.roster.in_service()
+    }
+
     /// Whether there is anyone to send to.
     pub fn can_serve(&self) -> bool {
         self.roster.can_serve()
--- a/crates/node/src/host/table.rs
+++ b/crates/node/src/host/table.rs
@@ -1,6 +1,7 @@
 //! The table of queries and parts that are open, and of the ids that were used of late.
 
-use pinetrestle::interface::{Id, Micros};
+use crate::counters::Retries;
+use pinetrestle::interface::{Effect, Id, Micros, Outcome};
 use pinetrestle_protocol::frames::Score;
 use pinetrestle_wheel::Key;
 use std::collections::{HashMap, HashSet};
@@ -19,12 +20,31 @@
     pub(super) timer: Option<Key>,
     pub(super) step: u8,
     pub(super) first_whole: bool,
+    /// When the first attempt of the second step went out.
+    pub(super) second_begun: Option<Micros>,
     /// What the key adds to each list, and what the second step does.
     pub(super) key_list: String,
     pub(super) list: String,
     pub(super) parts: Vec<Id>,
 }
 
+/// The first part of a second step goes ahead of the others by so much: its arrival ends the first step at the index
+/// servers, and parts that are read in the same moment are answered as errors.
+const SECOND_STEP_LEAD: Micros = Micros(1_000);
+
+impl Held {
+    /// From when on an attempt of the second step may go out that is decided now.
+    pub(super) fn second_step_from(&mut self, now: Micros) -> Micros {
+        match self.second_begun {
+            None => {
+                self.second_begun = Some(now);
+                now
+            }
+            Some(first) => now.max(first + SECOND_STEP_LEAD),
+        }
+    }
+}
+
 /// A part of an open query.
 pub(super) struct PartHeld {
     pub(super) query: Id,
@@ -33,6 +53,34 @@
     pub(super) attempts: u32,
     pub(super) out: u32,
     pub(super) value: Option<(Score, String)>,
+    /// How its latest attempt ended, once one has.
+    pub(super) latest: Option<Outcome>,
+    /// An attempt has ended that may have run.
+    pub(super) may_have_run: bool,
+}
+
+impl PartHeld {
+    /// Whether a further attempt would be a second one of what may have run or may yet, and has to run once at most.
+    pub(super) fn is_barred(&self, effect: Effect) -> bool {
+        effect == Effect::Unsafe && (self.out > 0 || self.may_have_run)
+    }
+
+    /// Counts why it is tried again.
+    pub(super) fn count_retry(&self, counts: &Retries) {
+        let count = match self.latest {
+            _ if self.out > 0 => &counts.hedge,
+            None => return,
+            Some(Outcome::Ok) => return,
+            Some(Outcome::Error) => &counts.after_error,
+            Some(Outcome::Full) => &counts.after_full,
+            Some(Outcome::Timeout) => &counts.after_timeout,
+            Some(Outcome::ConnectFailed) => &counts.after_connect_failed,
+            Some(Outcome::Reset) => &counts.after_reset,
+            Some(Outcome::Cancelled) => &counts.after_cancelled,
+            Some(Outcome::Moot) => &counts.after_moot,
+        };
+        count.one();
+    }
 }
 
 /// Ids of queries that are over and are remembered in each of two spans.
@@ -99,6 +147,7 @@
             timer: None,
             step: 1,
             first_whole: false,
+            second_begun: None,
             key_list: String::new(),
             list: String::new(),
             parts: Vec::new(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod discovery;
 pub mod flight;
 pub mod host;
+mod invariants;
 pub mod log;
 mod messages;
 mod patience;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -7,6 +7,7 @@
 use crate::discovery::Discovery;
 use crate::flight::{at_signal, Flight, Writing};
 use crate::host::{Host, NotTaken, Order, Reply};
+use crate::invariants::{Invariants, Rule};
 use crate::log::{logger, LAST_LINES};
 use crate::messages::Message;
 use crate::pulse::Pulse;
@@ -64,6 +65,7 @@
     ready: Rc<Cell<bool>>,
     stopping: bool,
     recorder: Rc<Recorder>,
+    invariants: Rc<Invariants>,
     pulse: Rc<Pulse>,
     log: Logger,
 }
@@ -115,6 +117,7 @@
                 match self.host.take(now, *ask) {
                     Ok(id) => {
                         self.recorder.note(|| Record::of(Step::Taken, query).with(parts as u64));
+                        self.invariants.query_taken(query);
                         self.waiting.insert(id, Waiting { token, query, reply });
                         self.ids.insert(token, id);
                     }
@@ -127,7 +130,9 @@
             }
             Message::Gone { token } => {
                 if let Some(id) = self.ids.remove(&token) {
-                    self.waiting.remove(&id);
+                    if let Some(waiting) = self.waiting.remove(&id) {
+                        self.invariants.query_over(waiting.query);
+                    }
                     self.host.gone(id);
                 }
             }
@@ -153,7 +158,10 @@
                 self.pools.stayed(&tickets);
                 tickets.into_iter().for_each(|ticket| self.host.stayed(now, ticket));
             }
-            Message::News(news) => self.host.news(now, &news, false),
+            Message::News(news) => {
+                self.host.news(now, &news, false);
+                self.invariants.in_service(self.host.in_service());
+            }
             Message::NewsFailed => self.host.news_failed(),
             Message::StopBy(at) => {
                 self.stopping = true;
@@ -189,6 +197,7 @@
                         Reply::Failed => 2,
                     };
                     self.recorder.note(|| Record::of(Step::Reply, waiting.query).detail(kind));
+                    self.invariants.query_over(waiting.query);
                     self.ids.remove(&waiting.token);
                     // A client that left meanwhile needs no answer.
                     let _ = waiting.reply.send(Ok(reply));
@@ -199,6 +208,7 @@
             Order::Stray(attempts) => {
                 self.recorder.alarm(1, Record::of(Step::Broken, 0).with(attempts as u64));
             }
+            Order::Barred(query) => self.invariants.violated(Rule::RepeatedInVain, key_of(&query)),
             Order::Remark(text) => info!(self.log, "module"; "says" => text),
         }
     }
@@ -266,6 +276,8 @@
     let host = Host::new(deployment, counters.clone(), config.seed, epoch, Micros(0));
     let mut host = host.with_names(&config.spoken.names.bodies);
     host.news(Micros(0), &config.known, true);
+    let invariants = Rc::new(Invariants::new(counters.clone(), recorder.clone(), log.clone()));
+    invariants.in_service(host.in_service());
     let moved = Rc::new(Notify::new());
     let (source, index) = (config.discovery, config.known.index);
     let live = Rc::new(Live::new(config));
@@ -288,6 +300,7 @@
             to_core.clone(),
             may_cancel,
             recorder.clone(),
+            invariants.clone(),
             start,
         ),
         start,
@@ -298,6 +311,7 @@
         ready: ready.clone(),
         stopping: false,
         recorder: recorder.clone(),
+        invariants: invariants.clone(),
         pulse: pulse.clone(),
         log: log.clone(),
     };
@@ -314,6 +328,7 @@
         silent: Resting::default(),
         resting: Resting::default(),
         recorder: recorder.clone(),
+        invariants,
         pulse: pulse.clone(),
         ended: Notify::new(),
         tokens: Cell::new(0),
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -3,6 +3,7 @@
 use crate::config::Live;
 use crate::counters::Counters;
 use crate::host::Peer;
+use crate::invariants::{Begun, Invariants};
 use crate::messages::Message;
 use crate::patience::within;
 use crate::reasons::Reason;
@@ -30,6 +31,10 @@
 /// Bytes of one read.
 const READ: usize = 16 * 1024;
 
+/// Microseconds by which a part may be begun late before that counts as a defect: the process may stand still between
+/// the last look at its clock and the write.
+const LATE_SLACK: u64 = 150_000;
+
 /// The host's clock, which stood at 0 then.
 fn micros_since(start: Instant) -> u64 {
     start.elapsed().as_micros() as u64
@@ -60,6 +65,7 @@
     by_replica: HashMap<ReplicaId, Vec<Rc<Conn>>>,
     carriers: HashMap<Ticket, Rc<Conn>>,
     recorder: Rc<Recorder>,
+    invariants: Rc<Invariants>,
     scratch: Rc<RefCell<Vec<u8>>>,
     /// The deployment lets attempts be cancelled.
     may_cancel: bool,
@@ -79,6 +85,7 @@
         to_core: mpsc::Sender<Message>,
         may_cancel: bool,
         recorder: Rc<Recorder>,
+        invariants: Rc<Invariants>,
         start: Instant,
     ) -> Pools {
         let (by_replica, carriers) = (HashMap::new(), HashMap::new());
@@ -92,6 +99,7 @@
             by_replica,
             carriers,
             recorder,
+            invariants,
             scratch,
             may_cancel,
             start,
@@ -173,6 +181,7 @@
             to_core: self.to_core.clone(),
             log: self.log.clone(),
             recorder: self.recorder.clone(),
+            invariants: self.invariants.clone(),
             scratch: self.scratch.clone(),
             start: self.start,
         };
@@ -258,6 +267,7 @@
     to_core: mpsc::Sender<Message>,
     log: Logger,
     recorder: Rc<Recorder>,
+    invariants: Rc<Invariants>,
     /// Where every connection reads to: a connection that rests holds no buffer of its own.
     scratch: Rc<RefCell<Vec<u8>>>,
     start: Instant,
@@ -281,6 +291,7 @@
         counts.servers_failed.more(u64::from(reason.never_up()));
         let late = self.conn.link.borrow().late;
         let out = self.conn.link.borrow().open();
+        self.counters.ends.one("index_server", reason.code());
         info!(self.log, "connection ended"; "side" => "index_server", "peer" => %address,
             "name" => &self.conn.peer.name, "age_ms" => begun.elapsed().as_millis() as u64,
             "calls" => self.conn.calls.get(), "parts" => self.conn.parts.get(), "lost" => out, "late" => late,
@@ -331,11 +342,10 @@
             if idle && self.conn.shut.get() {
                 return if self.conn.silent.get() { Reason::Unheard } else { Reason::Replaced };
             }
-            let wants = if link.borrow().waiting() > 0 {
-                Interest::READABLE | Interest::WRITABLE
-            } else {
-                Interest::READABLE
-            };
+            let next_write = link.borrow().next_write();
+            let writes = next_write.is_some_and(|at| at <= micros_since(self.start));
+            let wants = if writes { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+            let held_until = self.start + Duration::from_micros(next_write.unwrap_or_default());
             let (server_idle, most) = {
                 let config = self.live.get();
                 (config.transport.server_idle, config.transport.frame)
@@ -352,6 +362,7 @@
                     }
                 }
                 () = self.conn.bell.notified() => {}
+                () = tokio::time::sleep_until(held_until), if next_write.is_some() && !writes => {}
                 // What has come meanwhile is read before this is held against the index server.
                 () = tokio::time::sleep_until(frame_over), if frame.is_some() => tokio::task::yield_now().await,
                 () = tokio::time::sleep(rest.max(Duration::from_millis(1))), if idle => {
@@ -428,9 +439,14 @@
     }
 
     fn wrote(&self, what: Wrote<'_>) {
+        if let Wrote::Begun(part) = what {
+            let late = part.latest() + LATE_SLACK <= micros_since(self.start);
+            let begun = Begun { query: part.query, replica: self.conn.replica, late };
+            self.invariants.part_begun(begun);
+        }
         self.recorder.note(|| {
             let record = match what {
-                Wrote::Begun(id) => Record::of_part(Step::FirstByte, id),
+                Wrote::Begun(part) => Record::of_part(Step::FirstByte, &part.id),
                 Wrote::Whole(id, parts) => Record::of_part(Step::LastByte, id).with(parts as u64),
                 Wrote::GaveUp(id) => Record::of_part(Step::CancelWritten, id),
             };
@@ -442,11 +458,11 @@
         loop {
             let wrote = {
                 let link = self.conn.link.borrow();
-                if link.waiting() == 0 {
+                let mut slices: Vec<IoSlice<'_>> = Vec::new();
+                link.gather(micros_since(self.start), &mut slices, MOST_SLICES);
+                if slices.is_empty() {
                     return Ok(());
                 }
-                let mut slices: Vec<IoSlice<'_>> = Vec::new();
-                link.gather(&mut slices, MOST_SLICES);
                 uninterrupted(|| stream.try_write_vectored(&slices))
             };
             match wrote {
--- a/crates/node/tests/inside/host.rs
+++ b/crates/node/tests/inside/host.rs
@@ -17,7 +17,16 @@
 fn ids_come_round_without_naming_what_is_still_there() {
     let mut host = host();
     host.table.next_id = Id::MAX - 1;
-    let part = PartHeld { query: 9, shard: 0, step: 1, attempts: 0, out: 0, value: None };
+    let part = PartHeld {
+        query: 9,
+        shard: 0,
+        step: 1,
+        attempts: 0,
+        out: 0,
+        value: None,
+        latest: None,
+        may_have_run: false,
+    };
     host.table.parts.insert(0, part);
     host.book.book(Out { part: 1, attempt: 0, replica: 0, sent: Micros(0), timer: None });
     assert_eq!([host.fresh_id(), host.fresh_id()], [Id::MAX, 2]);
@@ -28,7 +37,16 @@
     let mut host = host();
     let mut held = host.table.begin("q".into(), "".into(), 0, Micros(1000));
     held.parts.push(8);
-    let part = PartHeld { query: 7, shard: 0, step: 1, attempts: 1, out: 1, value: None };
+    let part = PartHeld {
+        query: 7,
+        shard: 0,
+        step: 1,
+        attempts: 1,
+        out: 1,
+        value: None,
+        latest: None,
+        may_have_run: false,
+    };
     host.table.parts.insert(8, part);
     host.table.hold(7, held);
     let ticket = host.book.book(Out { part: 8, attempt: 0, replica: 0, sent: Micros(0), timer: None });
@@ -43,7 +61,16 @@
 #[test]
 fn an_attempt_that_outlives_its_query_s_end_by_a_turn_is_told() {
     let mut host = host();
-    let part = PartHeld { query: 7, shard: 0, step: 1, attempts: 1, out: 1, value: None };
+    let part = PartHeld {
+        query: 7,
+        shard: 0,
+        step: 1,
+        attempts: 1,
+        out: 1,
+        value: None,
+        latest: None,
+        may_have_run: false,
+    };
     let mut held = host.table.begin("q".into(), "".into(), 0, Micros(1000));
     held.parts.push(8);
     host.table.parts.insert(8, part);
--- a/crates/protocol/src/link.rs
+++ b/crates/protocol/src/link.rs
@@ -25,10 +25,12 @@
 }
 
 /// One part of a call to be made.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sending {
     /// The host's number for the attempt.
     pub ticket: Ticket,
+    /// The caller's number for the query.
+    pub query: u64,
     /// The part's id on the wire.
     pub id: String,
     /// Its shard.
@@ -42,6 +44,15 @@
     pub until: u64,
     /// Not to be begun from this moment of the host's clock on, in microseconds.
     pub by: Option<u64>,
+    /// Not to be begun before this moment of the host's clock, in microseconds.
+    pub from: u64,
+}
+
+impl Sending {
+    /// The moment from which it is not to be begun any more, by the host's clock in microseconds.
+    pub fn latest(&self) -> u64 {
+        self.by.map_or(self.until, |by| by.min(self.until))
+    }
 }
 
 /// An answer to an attempt that is out.
@@ -68,6 +79,11 @@
 }
 
 impl Outgoing {
+    /// The moment before which it is not begun.
+    fn from(&self) -> u64 {
+        self.starts.iter().map(|part| part.from).max().unwrap_or(0)
+    }
+
     /// Says its call as of this moment, with the parts that it has now; empty without any. The count of bytes that
     /// wait follows.
     fn say_anew(&mut self, letters: &Letters, now: u64, waiting: &mut usize) {
@@ -133,8 +149,8 @@
 /// What became of a frame, told as bytes are written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wrote<'a> {
-    /// The first byte of the frame that holds the part of this id.
-    Begun(&'a str),
+    /// The first byte of the frame that holds this part.
+    Begun(&'a Sending),
     /// The last byte of the frame that holds the part of this id, and how many parts it holds.
     Whole(&'a str, usize),
     /// The frame that gives the part of this id up, whole.
@@ -282,10 +298,19 @@
         self.open.len()
     }
 
-    /// What waits to be written, for one gathered write.
-    pub fn gather<'a>(&'a self, slices: &mut Vec<IoSlice<'a>>, most: usize) {
+    /// When the next bytes may be written, by the host's clock in microseconds; none where nothing waits.
+    pub fn next_write(&self) -> Option<u64> {
+        let frame = self.out.front()?;
+        Some(if self.begun > 0 { 0 } else { frame.from() })
+    }
+
+    /// What may be written now, for one gathered write.
+    pub fn gather<'a>(&'a self, now: u64, slices: &mut Vec<IoSlice<'a>>, most: usize) {
         let mut skip = self.begun;
-        for frame in self.out.iter().take(most) {
+        let may_go = |frame: &&Outgoing| frame.from() <= now;
+        let begun = self.out.iter().take(usize::from(skip > 0));
+        let rest = self.out.iter().skip(usize::from(skip > 0)).take_while(may_go);
+        for frame in begun.chain(rest).take(most) {
             slices.push(IoSlice::new(&frame.bytes[skip..]));
             skip = 0;
         }
@@ -301,7 +326,7 @@
         let mut untouched = before == 0;
         while let Some(frame) = self.out.front().filter(|_| left > 0) {
             if untouched {
-                frame.starts.iter().for_each(|part| tell(Wrote::Begun(&part.id)));
+                frame.starts.iter().for_each(|part| tell(Wrote::Begun(part)));
             }
             if frame.bytes.len() > left {
                 self.begun = left;
--- a/crates/protocol/tests/link.rs
+++ b/crates/protocol/tests/link.rs
@@ -9,12 +9,14 @@
 fn sending(ticket: u64, id: &str) -> Sending {
     Sending {
         ticket,
+        query: 1,
         id: id.into(),
         shard: 3,
         list: String::new(),
         text: "c41e77d0".into(),
         until: 240_000,
         by: None,
+        from: 0,
     }
 }
 
@@ -28,7 +30,7 @@
 /// What waits to be written.
 fn waits(link: &Link) -> Vec<u8> {
     let mut slices = Vec::new();
-    link.gather(&mut slices, 64);
+    link.gather(u64::MAX, &mut slices, 64);
     slices.iter().flat_map(|slice| slice.iter().copied()).collect()
 }
 
--- a/crates/protocol/tests/names.rs
+++ b/crates/protocol/tests/names.rs
@@ -84,9 +84,22 @@
     let id = part_id("q", 3, Some(&names.bodies.second_step));
     assert_eq!(id, "q.3.b");
     let list = String::new();
-    link.call(0, vec![Sending { ticket: 1, id, shard: 3, list, text: "c4".into(), until: 5000, by: None }]);
+    link.call(
+        0,
+        vec![Sending {
+            ticket: 1,
+            query: 1,
+            id,
+            shard: 3,
+            list,
+            text: "c4".into(),
+            until: 5000,
+            by: None,
+            from: 0,
+        }],
+    );
     let mut slices = Vec::new();
-    link.gather(&mut slices, 8);
+    link.gather(u64::MAX, &mut slices, 8);
     let written: Vec<u8> = slices.iter().flat_map(|slice| slice.to_vec()).collect();
     assert_eq!(written, [&17u32.to_le_bytes()[..], b"Qq.3.b 3 d=5 2\nc4"].concat());
     link.wrote(written.len(), |_| {});
