--- /dev/null
+++ b/crates/faultshim/tests/soak.rs
@@ -0,0 +1,383 @@
+//! A soak of real processes: two dozen front nodes, each with system calls that fail and a wall clock that is off, six
+//! index servers, two discoveries and clients of all kinds, while two or three troubles at a time come over them:
+//! stops, kills and restarts, reloads, processes that stand still, index servers that hang, fail, cut or drain,
+//! discoveries that fall silent, refuse or drip.
+//!
+//! Judged by the rules: each request gets one final answer in time, no part that may have run is sent again in a class
+//! where that does harm, nothing goes to an index server that drains, every process ends in order, the counters agree
+//! and the processes' own invariants (`violations`) stay at zero.
+//!
+//! `SOAK_SEEDS=20..40 SOAK_NODES=30 SOAK_SECONDS=20 cargo test -p pinetrestle-faultshim --test soak` plays more.
+
+mod common;
+
+use common::{ms, node, wall_ms, Faults};
+use pinetrestle_standins::{
+    config_json, entries, list, query, word, Ailing, Client, Discovery, Doing, Program, Server, Telling,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long a query may take at the most: its own 2 s, half a second, and what a busy machine adds.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(4000);
+/// What the time of a query is.
+const EXPIRES_MS: u64 = 2000;
+
+/// One place for a front node and the process that holds it now.
+struct Place {
+    program: Program,
+    faults: Faults,
+    /// It is killed without a word: what it held may be lost.
+    killed: Arc<AtomicBool>,
+}
+
+/// Everything on the stage.
+struct Soak {
+    servers: Vec<Server>,
+    discoveries: [Discovery; 2],
+    places: Vec<Mutex<Place>>,
+    over: AtomicBool,
+    asked: AtomicU64,
+    statuses: Mutex<HashMap<u16, u64>>,
+    /// What broke a rule, in words.
+    broken: Mutex<Vec<String>>,
+    faults_met: AtomicU64,
+    /// Processes that were told to end, until they have.
+    ending: Mutex<Vec<Place>>,
+}
+
+/// A number from the environment.
+fn number(name: &str, or: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(or)
+}
+
+/// Faults of a process: mostly mild, as the machine of one front node has them.
+fn plan(random: &mut StdRng) -> String {
+    let mut plan = vec![format!("seed={}", random.random_range(0..1_000_000))];
+    for call in ["recv", "writev", "send", "epoll_wait"] {
+        plan.push(format!("{call}=EINTR/{}", random.random_range(20..200)));
+    }
+    for call in ["recv", "writev", "send"] {
+        plan.push(format!("{call}=short/{}", random.random_range(10..100)));
+    }
+    let gone = ["ECONNABORTED", "EPROTO", "EINTR", "ENFILE", "ENOBUFS"];
+    plan.push(format!("accept4={}/{}", gone[random.random_range(0..5)], random.random_range(5..50)));
+    let here = ["EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "EAGAIN"];
+    let from = random.random_range(500..4000);
+    plan.push(format!("connect={}/1/{from}/100", here[random.random_range(0..4)]));
+    plan.push(format!("socket=ENFILE/1/{}/60", random.random_range(500..4000)));
+    let off = [0, 0, -3_600_000, -5_000, 5_000, 3_600_000][random.random_range(0..6)];
+    plan.push(format!("realtime={off}/{}", random.random_range(0..3000)));
+    plan.join(",")
+}
+
+impl Soak {
+    fn config(&self, place: usize) -> Value {
+        let known = list(1, &entries(&self.servers));
+        let discovery = self.discoveries[place % 2].address.to_string();
+        let mut config = config_json("127.0.0.1:0", &discovery, &known);
+        config["name"] = json!(format!("n{place}"));
+        config["seed"] = json!(format!("{:016x}", 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(place as u64 + 1)));
+        config["settings"]["fleet_size"] = json!(self.places.len().max(1));
+        config["settings"]["classes"][1]["effect"] = json!("fragile");
+        config["settings"]["permissions"]["most_held"] = json!(400);
+        config
+    }
+
+    fn begin(&self, place: usize, random: &mut StdRng) -> Place {
+        let faults = Faults::planned(&plan(random));
+        let program = Program::start_under(&faults.shell(), &node(), &self.config(place));
+        Place { program, faults, killed: Arc::default() }
+    }
+
+    fn breaks(&self, what: String) {
+        self.broken.lock().expect("no panic").push(what);
+    }
+
+    /// Asks queries at one place after the other until it is over.
+    fn ask(&self, mut random: StdRng) {
+        let mut resting: Option<(usize, Client, Arc<AtomicBool>)> = None;
+        while !self.over.load(Ordering::Relaxed) {
+            thread::sleep(ms(random.random_range(0..30)));
+            let class = ["any", "all", "steps"][random.random_range(0..3)];
+            let (id, text) = query(class, &[0, 1, 2], EXPIRES_MS);
+            if class == "all" {
+                UNSAFE.lock().expect("no panic").insert(id.clone());
+            }
+            let reused = resting.take().filter(|_| random.random_bool(0.7));
+            let was_resting = reused.is_some();
+            let Some((place, mut client, killed)) = reused.or_else(|| self.connect(&mut random)) else {
+                continue;
+            };
+            if random.random_bool(0.1) {
+                self.misbehave(client, &text, &mut random);
+                continue;
+            }
+            self.asked.fetch_add(1, Ordering::Relaxed);
+            let begun = Instant::now();
+            let answer = if client.try_write(text.as_bytes()) { client.try_read() } else { None };
+            let took = begun.elapsed();
+            match answer {
+                Some(answer) => {
+                    *self.statuses.lock().expect("no panic").entry(answer.status).or_default() += 1;
+                    if took > ANSWERED_WITHIN {
+                        self.breaks(format!("{id} at place {place} was answered after {took:?}"));
+                    }
+                    if !matches!(answer.status, 200 | 503 | 500) {
+                        self.breaks(format!("{id} at place {place}: {} {}", answer.status, answer.body));
+                    }
+                    resting = Some((place, client, killed));
+                }
+                // A resting connection may be ended in the moment in which a request comes: it was not read then.
+                None if was_resting || killed.load(Ordering::Relaxed) => {}
+                None => {
+                    self.breaks(format!("{id} at place {place}: no answer on a new connection ({took:?})"))
+                }
+            }
+        }
+    }
+
+    fn connect(&self, random: &mut StdRng) -> Option<(usize, Client, Arc<AtomicBool>)> {
+        let place = random.random_range(0..self.places.len());
+        let (address, killed) = {
+            let place = self.places[place].lock().expect("no panic");
+            (place.program.address, place.killed.clone())
+        };
+        let stream = std::net::TcpStream::connect_timeout(&address, ms(500)).ok()?;
+        stream.set_read_timeout(Some(ms(8000))).ok()?;
+        Some((place, Client { stream: std::io::BufReader::new(stream) }, killed))
+    }
+
+    /// A client that leaves, sends half, rubbish, much at once, or nothing.
+    fn misbehave(&self, mut client: Client, text: &str, random: &mut StdRng) {
+        match random.random_range(0..5) {
+            0 => drop(client.try_write(text.as_bytes())),
+            1 => drop(client.try_write(&text.as_bytes()[..text.len() / 2])),
+            2 => drop(client.try_write(b"\x16\x03\x01 rubbish \r\n\r\n")),
+            3 => drop(client.try_write(text.repeat(5).as_bytes())),
+            _ => thread::sleep(ms(50)),
+        }
+    }
+
+    /// One trouble, begun; what undoes it is returned.
+    fn trouble<'a>(&'a self, random: &mut StdRng) -> Box<dyn FnOnce() + Send + 'a> {
+        let place = random.random_range(0..self.places.len());
+        let server = random.random_range(0..self.servers.len());
+        let discovery = &self.discoveries[random.random_range(0..2)];
+        match random.random_range(0..11) {
+            0 | 1 => {
+                let fresh = self.begin(place, random);
+                let old = std::mem::replace(&mut *self.places[place].lock().expect("no panic"), fresh);
+                old.program.terminate();
+                self.ending.lock().expect("no panic").push(old);
+                Box::new(|| {})
+            }
+            2 => {
+                let mut fresh = self.begin(place, random);
+                let mut held = self.places[place].lock().expect("no panic");
+                held.killed.store(true, Ordering::Relaxed);
+                self.faults_met.fetch_add(held.faults.met() as u64, Ordering::Relaxed);
+                held.program.kill();
+                std::mem::swap(&mut *held, &mut fresh);
+                Box::new(|| {})
+            }
+            3 | 4 => {
+                let mut config = self.config(place);
+                config["discovery"] = json!(discovery.address.to_string());
+                config["transport"] = json!({"client_idle_ms": random.random_range(300..3000)});
+                let held = self.places[place].lock().expect("no panic");
+                held.program.reload(Some(&config.to_string()));
+                Box::new(|| {})
+            }
+            5 => {
+                let held = self.places[place].lock().expect("no panic");
+                held.program.pause();
+                thread::sleep(ms(random.random_range(20..150)));
+                held.program.go_on();
+                Box::new(|| {})
+            }
+            6 | 7 => {
+                let doings = [
+                    Doing::Silent,
+                    Doing::Failing,
+                    Doing::EndingAfterFrame,
+                    Doing::Stalling,
+                    Doing::ServingAfter(ms(300)),
+                    Doing::ResettingAfter(ms(50)),
+                    Doing::EndingAfterAnswer,
+                    Doing::Doubling,
+                    Doing::CuttingAt(7),
+                    Doing::AddingNoise,
+                ];
+                let server = &self.servers[server];
+                server.doing(doings[random.random_range(0..doings.len())].clone());
+                Box::new(|| server.doing(Doing::Serving))
+            }
+            8 => {
+                let server = &self.servers[server];
+                server.hang_up();
+                Box::new(|| {})
+            }
+            9 => {
+                discovery
+                    .ails([Ailing::Silent, Ailing::HalfLine, Ailing::Dripping, Ailing::Reset][place % 4]);
+                let telling = [Telling::Refusing, Telling::HalfHead, Telling::Rubbish, Telling::Indented];
+                discovery.telling(telling[random.random_range(0..4)]);
+                Box::new(|| discovery.telling(Telling::Well))
+            }
+            _ => {
+                // It drains, and is up again as a new process.
+                let tell = move |status: &str, since_ms: u64| {
+                    let mut lines = entries(&self.servers);
+                    lines[server]["status"] = json!(status);
+                    lines[server]["since_ms"] = json!(since_ms);
+                    self.discoveries.iter().for_each(|discovery| discovery.tell(lines.clone()));
+                };
+                tell("draining", 0);
+                Box::new(move || tell("up", wall_ms()))
+            }
+        }
+    }
+
+    /// What the counters of a process say against it.
+    fn judge(&self, name: &str, stats: &Value) {
+        let count = |group: &Value, key: &str| group[key].as_u64().unwrap_or(0);
+        let violations = stats["violations"].as_object().expect("violations");
+        for (rule, _) in violations.iter().filter(|(_, many)| many.as_u64() != Some(0)) {
+            self.breaks(format!("{name}: {rule} {}", violations[rule]));
+        }
+        for key in ["stray_attempts", "module_restarts"] {
+            if count(&stats["own"], key) > 0 {
+                self.breaks(format!("{name}: {key} {}", stats["own"][key]));
+            }
+        }
+        for (class, queries) in stats["queries"].as_object().expect("queries") {
+            let ended = ["whole", "partial", "refused", "failed", "gone", "held"];
+            let ended: u64 = ended.iter().map(|key| count(queries, key)).sum();
+            if ended != count(queries, "taken") {
+                self.breaks(format!("{name}: {class}: {queries}"));
+            }
+        }
+    }
+
+    /// Waits for a process that was told to end.
+    fn bury(&self, mut place: Place) {
+        let code = place.program.wait();
+        if code != Some(0) {
+            self.breaks(format!("a process that was told to end ended with {code:?}"));
+        }
+        self.faults_met.fetch_add(place.faults.met() as u64, Ordering::Relaxed);
+        let lines = place.program.lines();
+        let counters = lines.iter().rev().find(|line| line.contains("msg=\"counters\""));
+        let Some(text) = counters.and_then(|line| line.split_once(" all=")) else {
+            return self.breaks("a process ended in order and said no counters".to_owned());
+        };
+        let text: String = serde_json::from_str(text.1).expect("a quoted word");
+        let name = word(&lines[0], "node").unwrap_or_default();
+        self.judge(&format!("{name}, ended"), &serde_json::from_str(&text).expect("JSON"));
+    }
+
+    /// No part of the class whose effect must not come twice was read twice.
+    fn count_twice(&self) {
+        let mut seen: HashMap<String, u64> = HashMap::new();
+        for part in self.servers.iter().flat_map(Server::seen) {
+            *seen.entry(part.id).or_default() += 1;
+        }
+        let unsafe_ids = UNSAFE.lock().expect("no panic");
+        for (id, times) in seen.iter().filter(|(_, times)| **times > 1) {
+            if id.split('.').next().is_some_and(|query| unsafe_ids.contains(query)) {
+                self.breaks(format!("{id} was read {times} times"));
+            }
+        }
+    }
+}
+
+/// Ids of queries whose parts may run once only.
+static UNSAFE: Mutex<std::collections::BTreeSet<String>> = Mutex::new(std::collections::BTreeSet::new());
+
+fn play(seed: u64, nodes: usize, lasts: Duration) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let servers: Vec<Server> = (0..6).map(|_| Server::start(Doing::Serving)).collect();
+    let discoveries = [Discovery::start(entries(&servers)), Discovery::start(entries(&servers))];
+    let mut soak = Soak {
+        servers,
+        discoveries,
+        places: Vec::new(),
+        over: AtomicBool::new(false),
+        asked: AtomicU64::new(0),
+        statuses: Mutex::default(),
+        broken: Mutex::default(),
+        faults_met: AtomicU64::new(0),
+        ending: Mutex::default(),
+    };
+    let places: Vec<Place> = (0..nodes).map(|place| soak.begin(place, &mut random)).collect();
+    soak.places = places.into_iter().map(Mutex::new).collect();
+    let soak = &soak;
+    let mut troubles = 0;
+    thread::scope(|scope| {
+        for client in 0..nodes * 2 {
+            let random = StdRng::seed_from_u64(seed.wrapping_mul(1000) + client as u64);
+            scope.spawn(move || soak.ask(random));
+        }
+        let end = Instant::now() + lasts;
+        let mut undo: Vec<(Instant, Box<dyn FnOnce() + Send + '_>)> = Vec::new();
+        while Instant::now() < end {
+            thread::sleep(ms(random.random_range(20..120)));
+            let now = Instant::now();
+            let (due, rest): (Vec<_>, Vec<_>) = undo.into_iter().partition(|(at, _)| *at <= now);
+            undo = rest;
+            due.into_iter().for_each(|(_, undo)| undo());
+            if undo.len() < 3 {
+                let at = now + ms(random.random_range(100..1200));
+                undo.push((at, soak.trouble(&mut random)));
+                troubles += 1;
+            }
+        }
+        undo.into_iter().for_each(|(_, undo)| undo());
+        thread::sleep(ms(500));
+        soak.over.store(true, Ordering::Relaxed);
+    });
+    let ended: Vec<Place> = soak.ending.lock().expect("no panic").drain(..).collect();
+    ended.into_iter().for_each(|place| soak.bury(place));
+    let all = soak.places.iter().enumerate();
+    for (number, place) in all {
+        let mut place = place.lock().expect("no panic");
+        if place.program.is_running() {
+            soak.judge(&format!("n{number}"), &place.program.stats());
+        } else {
+            soak.breaks(format!("n{number} has ended by itself"));
+        }
+        soak.faults_met.fetch_add(place.faults.met() as u64, Ordering::Relaxed);
+    }
+    soak.count_twice();
+    let (asked, met) = (soak.asked.load(Ordering::Relaxed), soak.faults_met.load(Ordering::Relaxed));
+    let statuses = soak.statuses.lock().expect("no panic").clone();
+    println!("seed {seed}: {nodes} front nodes, {asked} queries, {statuses:?}, {troubles} troubles, {met} faults of calls");
+    let broken = soak.broken.lock().expect("no panic");
+    assert!(
+        broken.is_empty(),
+        "seed {seed}: {} broken: {:#?}",
+        broken.len(),
+        &broken[..broken.len().min(12)]
+    );
+    assert!(met > 100, "seed {seed}: {met} faults");
+    let served = statuses.get(&200).copied().unwrap_or(0);
+    assert!(served * 2 > asked, "seed {seed}: {served} of {asked} served");
+}
+
+#[test]
+fn rules_hold_while_troubles_overlap() {
+    let seeds = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..3".to_owned());
+    let (from, to) = seeds.split_once("..").expect("SOAK_SEEDS=from..to");
+    let nodes = number("SOAK_NODES", 8) as usize;
+    let lasts = Duration::from_secs(number("SOAK_SECONDS", 6));
+    for seed in from.parse().expect("a number")..to.parse().expect("a number") {
+        play(seed, nodes, lasts);
+    }
+}
