--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -14,7 +14,7 @@
 use crate::reload::{at_signals, follow, hang_ups, Reloads};
 use crate::shutdown::{Phase, StopSignals};
 use crate::system_calls::{is_local, listen as listen_at};
-use crate::upstream::Pools;
+use crate::upstream::{Instruments, Pools};
 use clap::Parser;
 use pinetrestle::interface::{Id, Micros, ReplicaId};
 use pinetrestle_protocol::link::Sending;
@@ -291,18 +291,15 @@
     };
     tokio::task::spawn_local(discovery.run(asked));
     let pulse = Rc::new(Pulse::begin(Instant::now()));
+    let instruments = Instruments {
+        counters: counters.clone(),
+        log: log.clone(),
+        recorder: recorder.clone(),
+        invariants: invariants.clone(),
+    };
     let core = Core {
         host,
-        pools: Pools::new(
-            live.clone(),
-            counters.clone(),
-            log.clone(),
-            to_core.clone(),
-            may_cancel,
-            recorder.clone(),
-            invariants.clone(),
-            start,
-        ),
+        pools: Pools::new(live.clone(), to_core.clone(), may_cancel, instruments, start),
         start,
         inbox,
         ask_discovery,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -56,6 +56,18 @@
     parts: Cell<u64>,
 }
 
+/// What connections tell what they do.
+pub struct Instruments {
+    /// Counts.
+    pub counters: Rc<Counters>,
+    /// For one line a connection.
+    pub log: Logger,
+    /// Notes each step.
+    pub recorder: Rc<Recorder>,
+    /// Checks each part as it is begun.
+    pub(crate) invariants: Rc<Invariants>,
+}
+
 /// The connections of all replicas.
 pub struct Pools {
     live: Rc<Live>,
@@ -77,17 +89,15 @@
 }
 
 impl Pools {
-    /// No connections yet.
+    /// No connections yet; the host's clock stood at 0 at `start`.
     pub fn new(
         live: Rc<Live>,
-        counters: Rc<Counters>,
-        log: Logger,
         to_core: mpsc::Sender<Message>,
         may_cancel: bool,
-        recorder: Rc<Recorder>,
-        invariants: Rc<Invariants>,
+        instruments: Instruments,
         start: Instant,
     ) -> Pools {
+        let Instruments { counters, log, recorder, invariants } = instruments;
         let (by_replica, carriers) = (HashMap::new(), HashMap::new());
         let scratch = Rc::new(RefCell::new(vec![0; READ]));
         let letters = Rc::new(live.get().spoken.names.letters.clone());
--- a/crates/node/tests/host.rs
+++ b/crates/node/tests/host.rs
@@ -59,6 +59,7 @@
                     Order::Reply(id, reply) => self.replies.push((id, reply)),
                     Order::Watch => self.watches += 1,
                     Order::Stray(attempts) => panic!("{attempts} attempts out of queries that are over"),
+                    Order::Barred(query) => panic!("a barred repeat of {query}"),
                     Order::Remark(_) | Order::Retire(_) | Order::Withdraw(_) => {}
                 }
             }
