Soak: connections come up late and all at once; accepting rests after 64 failures in a row

Accepting went on at once after every failure but four kinds: a broken listener would have kept the process busy for ever.

--- a/crates/faultshim/tests/soak.rs
+++ b/crates/faultshim/tests/soak.rs
@@ -69,8 +69,11 @@
     let gone = ["ECONNABORTED", "EPROTO", "EINTR", "ENFILE", "ENOBUFS"];
     plan.push(format!("accept4={}/{}", gone[random.random_range(0..5)], random.random_range(5..50)));
     let here = ["EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "EAGAIN"];
-    let from = random.random_range(500..4000);
-    plan.push(format!("connect={}/1/{from}/100", here[random.random_range(0..4)]));
+    // Connections come up late: parts wait in line for them, and whatever happens then crosses them.
+    for from in (500..20_000).step_by(700) {
+        let from = from + random.random_range(0..400);
+        plan.push(format!("connect={}/1/{from}/180", here[random.random_range(0..4)]));
+    }
     plan.push(format!("socket=ENFILE/1/{}/60", random.random_range(500..4000)));
     let off = [0, 0, -3_600_000, -5_000, 5_000, 3_600_000][random.random_range(0..6)];
     plan.push(format!("realtime={off}/{}", random.random_range(0..3000)));
@@ -170,7 +173,7 @@
         let place = random.random_range(0..self.places.len());
         let server = random.random_range(0..self.servers.len());
         let discovery = &self.discoveries[random.random_range(0..2)];
-        match random.random_range(0..11) {
+        match random.random_range(0..14) {
             0 | 1 => {
                 let fresh = self.begin(place, random);
                 let old = std::mem::replace(&mut *self.places[place].lock().expect("no panic"), fresh);
@@ -219,12 +222,11 @@
                 server.doing(doings[random.random_range(0..doings.len())].clone());
                 Box::new(|| server.doing(Doing::Serving))
             }
-            8 => {
-                let server = &self.servers[server];
-                server.hang_up();
+            8 | 9 => {
+                self.servers.iter().for_each(Server::hang_up);
                 Box::new(|| {})
             }
-            9 => {
+            10 => {
                 discovery
                     .ails([Ailing::Silent, Ailing::HalfLine, Ailing::Dripping, Ailing::Reset][place % 4]);
                 let telling = [Telling::Refusing, Telling::HalfHead, Telling::Rubbish, Telling::Indented];
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -29,6 +29,8 @@
 pub const READ: usize = 16 * 1024;
 /// How long accepting rests where the machine has no room for any connection, as when descriptors run out.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
+/// After so many failures in a row accepting rests all the same: the listener itself may be broken.
+const ACCEPT_MOST_FAILURES: u32 = 64;
 /// Failures to accept are logged at most this often; all are counted.
 const ACCEPT_LOG_EVERY: Duration = Duration::from_secs(1);
 
@@ -95,6 +97,7 @@
     let mut closing = phases.clone();
     let mut begun_closing = false;
     let mut logged_at: Option<Instant> = None;
+    let mut failures: u32 = 0;
     loop {
         let most = front.live.get().transport.client_connections as u64;
         let open = front.counters.connections.clients_open.get();
@@ -126,6 +129,7 @@
         };
         match accepted {
             Ok((stream, peer)) => {
+                failures = 0;
                 front.counters.connections.clients_accepted.one();
                 front.counters.connections.clients_open.one();
                 tokio::task::spawn_local(Client::run(front.clone(), stream, peer, phases.clone()));
@@ -137,8 +141,9 @@
                     warn!(front.log, "accepting failed"; "error" => %error,
                         "all" => front.counters.connections.accept_failed.get());
                 }
+                failures += 1;
                 // One that was aborted in the queue is gone: those behind it are taken at once.
-                if lacks_room(&error) {
+                if lacks_room(&error) || failures.is_multiple_of(ACCEPT_MOST_FAILURES) {
                     tokio::time::sleep(ACCEPT_REST).await;
                 }
             }
