--- a/crates/faultshim/tests/machine.rs
+++ b/crates/faultshim/tests/machine.rs
@@ -22,6 +22,16 @@
     assert!(stage.program.reasons("discovery").is_empty(), "{:?}", stage.program.reasons("discovery"));
 }
 
+#[test]
+fn a_lack_of_buffers_on_an_open_connection_is_waited_for() {
+    let stage = Stage::with("seed=4,recv=ENOMEM/9,writev=ENOBUFS/9,send=ENOBUFS/9,writev=ENOMEM/15", |_| {});
+    let statuses: Vec<u16> = (0..8).flat_map(|_| ask(stage.program.address, "any", &[0, 1, 2], 50)).collect();
+    assert!(stage.faults.met() > 200, "{} faults", stage.faults.met());
+    assert_eq!(count(&statuses, 200), 400, "{statuses:?}");
+    assert!(stage.program.reasons("index_server").is_empty(), "{:?}", stage.program.reasons("index_server"));
+    assert!(stage.program.reasons("discovery").is_empty(), "{:?}", stage.program.reasons("discovery"));
+}
+
 #[test]
 fn bytes_that_come_and_go_one_by_one_change_nothing() {
     let stage = Stage::with("seed=5,recv=short/2,writev=short/2,send=short/2", |_| {});
