--- a/crates/faultshim/tests/soak.rs
+++ b/crates/faultshim/tests/soak.rs
@@ -66,6 +66,8 @@
     for call in ["recv", "writev", "send"] {
         plan.push(format!("{call}=short/{}", random.random_range(10..100)));
     }
+    plan.push(format!("recv=ENOMEM/{}", random.random_range(100..400)));
+    plan.push(format!("writev=ENOBUFS/{}", random.random_range(100..400)));
     let gone = ["ECONNABORTED", "EPROTO", "EINTR", "ENFILE", "ENOBUFS"];
     plan.push(format!("accept4={}/{}", gone[random.random_range(0..5)], random.random_range(5..50)));
     let here = ["EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "EAGAIN"];
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -9,7 +9,7 @@
 use crate::pulse::Pulse;
 use crate::reasons::Reason;
 use crate::shutdown::{reached, Phase, Phases};
-use crate::system_calls::{lacks_room, uninterrupted};
+use crate::system_calls::{lacks_buffers, lacks_room, uninterrupted, BUFFER_WAIT};
 use pinetrestle::interface::{Effect, Micros};
 use pinetrestle_protocol::query::{self, reason_body};
 use pinetrestle_protocol::requests::{answer_head, Progress, Request, Requests, Unclear};
@@ -435,7 +435,8 @@
                 return Err(Reason::IoError);
             }
             let mut scratch = self.front.scratch.borrow_mut();
-            match uninterrupted(|| self.stream.try_read(&mut scratch)) {
+            let read = uninterrupted(|| self.stream.try_read(&mut scratch));
+            match read {
                 Ok(0) => {
                     return Err(if self.requests.is_empty() {
                         Reason::ClientClosed
@@ -450,6 +451,10 @@
                     return Ok(());
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) if lacks_buffers(&error) => {
+                    drop(scratch);
+                    tokio::time::sleep(BUFFER_WAIT).await;
+                }
                 Err(_) => return Err(Reason::Reset),
             }
         }
@@ -490,7 +495,7 @@
                 self.requests.feed(&scratch[..count]);
                 false
             }
-            Err(error) => error.kind() != ErrorKind::WouldBlock,
+            Err(error) => error.kind() != ErrorKind::WouldBlock && !lacks_buffers(&error),
         }
     }
 
@@ -540,6 +545,9 @@
                         None => return Err(Reason::WriteStalled),
                     }
                 }
+                Err(error) if lacks_buffers(&error) && Instant::now() < until => {
+                    tokio::time::sleep(BUFFER_WAIT).await;
+                }
                 Err(_) => return Err(Reason::WriteFailed),
             }
         }
@@ -565,6 +573,7 @@
                     Ok(0) => return,
                     Ok(count) => left = left.saturating_sub(count),
                     Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    Err(error) if lacks_buffers(&error) => tokio::time::sleep(BUFFER_WAIT).await,
                     Err(_) => return,
                 }
             }
--- a/crates/node/src/system_calls.rs
+++ b/crates/node/src/system_calls.rs
@@ -45,6 +45,15 @@
     Errno::from_io_error(error).is_some_and(|errno| local.contains(&errno))
 }
 
+/// Whether a read or write on an open connection did nothing since this machine had no room for it just now.
+pub(crate) fn lacks_buffers(error: &io::Error) -> bool {
+    let buffers = [Errno::NOBUFS, Errno::NOMEM];
+    Errno::from_io_error(error).is_some_and(|errno| buffers.contains(&errno))
+}
+
+/// How long to wait before a read or write is tried again that found no room.
+pub(crate) const BUFFER_WAIT: Duration = Duration::from_millis(2);
+
 /// Whether accepting failed because this machine has no room for any connection; else only the connection that was
 /// accepted is gone, and the next one may be taken at once.
 pub(crate) fn lacks_room(error: &io::Error) -> bool {
@@ -93,6 +102,7 @@
         stream.readable().await?;
         match uninterrupted(|| stream.try_read(buffer)) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if lacks_buffers(&error) => sleep(BUFFER_WAIT).await,
             result => return result,
         }
     }
@@ -108,6 +118,7 @@
         match uninterrupted(|| stream.try_write(bytes)) {
             Ok(count) => bytes = &bytes[count..],
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if lacks_buffers(&error) => sleep(BUFFER_WAIT).await,
             Err(error) => return Err(error),
         }
     }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -7,7 +7,7 @@
 use crate::messages::Message;
 use crate::patience::within;
 use crate::reasons::Reason;
-use crate::system_calls::{connect, is_local, uninterrupted};
+use crate::system_calls::{connect, is_local, lacks_buffers, uninterrupted, BUFFER_WAIT};
 use pinetrestle::interface::ReplicaId;
 use pinetrestle_protocol::frames::End;
 use pinetrestle_protocol::link::{Heard, Link, Lost, Sending, Ticket, Wrote};
@@ -22,7 +22,7 @@
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, Notify};
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 /// Frames of one gathered write.
 const MOST_SLICES: usize = 64;
@@ -345,8 +345,13 @@
                 return Reason::WriteStalled;
             }
             link.borrow_mut().tell_what_is_left(now);
-            if let Err(error) = self.write(stream, bytes_out, &mut last) {
-                return Reason::from(&error);
+            match self.write(stream, bytes_out, &mut last) {
+                Ok(()) => {}
+                Err(error) if lacks_buffers(&error) => {
+                    sleep(BUFFER_WAIT).await;
+                    continue;
+                }
+                Err(error) => return Reason::from(&error),
             }
             let idle = link.borrow().open() == 0 && link.borrow().waiting() == 0;
             if idle && self.conn.shut.get() {
@@ -375,7 +380,7 @@
                 () = tokio::time::sleep_until(held_until), if next_write.is_some() && !writes => {}
                 // What has come meanwhile is read before this is held against the index server.
                 () = tokio::time::sleep_until(frame_over), if frame.is_some() => tokio::task::yield_now().await,
-                () = tokio::time::sleep(rest.max(Duration::from_millis(1))), if idle => {
+                () = sleep(rest.max(Duration::from_millis(1))), if idle => {
                     let still = link.borrow().open() == 0 && link.borrow().waiting() == 0;
                     if still && last.elapsed() >= server_idle {
                         self.conn.shut.set(true); // before anything else runs: no call slips in
@@ -430,6 +435,10 @@
                     }
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return None,
+                Err(error) if lacks_buffers(&error) => {
+                    sleep(BUFFER_WAIT).await;
+                    return None;
+                }
                 Err(error) => return Some(Reason::from(&error)),
             }
         }
