Failing test: parts in line for a client that has left wait for the next turn; soak keeps records

Cause by reading: Core::take hears that a client has left and lets other tasks run (one turn, four after a pause) before the decision that cancels; a connection that comes up or gets room just then writes the part. The same holds for the word that a server drains (Order::Retire). The soak keeps the log and the flight records of a process whose counters speak against it.

--- a/crates/faultshim/tests/soak.rs
+++ b/crates/faultshim/tests/soak.rs
@@ -97,7 +97,9 @@
 
     fn begin(&self, place: usize, random: &mut StdRng) -> Place {
         let faults = Faults::planned(&plan(random));
-        let program = Program::start_under(&faults.shell(), &node(), &self.config(place));
+        let recorder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/recorder.json5");
+        let program = format!("{} --recorder {recorder}", node());
+        let program = Program::start_under(&faults.shell(), &program, &self.config(place));
         Place { program, faults, killed: Arc::default() }
     }
 
@@ -249,8 +251,19 @@
         }
     }
 
-    /// What the counters of a process say against it.
-    fn judge(&self, name: &str, stats: &Value) {
+    /// What the counters of a process say against it; its log, with the flight recorder's records, is kept then.
+    fn judge(&self, name: &str, stats: &Value, program: &Program) {
+        let before = self.broken.lock().expect("no panic").len();
+        self.judge_counters(name, stats);
+        if self.broken.lock().expect("no panic").len() > before {
+            let path =
+                std::env::temp_dir().join(format!("soak-{}-{}.log", program.id(), name.replace(", ", "-")));
+            let kept = std::fs::write(&path, program.lines().join("\n")).map(|()| path.display().to_string());
+            self.breaks(format!("{name}: its log and records: {kept:?}"));
+        }
+    }
+
+    fn judge_counters(&self, name: &str, stats: &Value) {
         let count = |group: &Value, key: &str| group[key].as_u64().unwrap_or(0);
         let violations = stats["violations"].as_object().expect("violations");
         for (rule, _) in violations.iter().filter(|(_, many)| many.as_u64() != Some(0)) {
@@ -284,7 +297,8 @@
         };
         let text: String = serde_json::from_str(text.1).expect("a quoted word");
         let name = word(&lines[0], "node").unwrap_or_default();
-        self.judge(&format!("{name}, ended"), &serde_json::from_str(&text).expect("JSON"));
+        let stats = serde_json::from_str(&text).expect("JSON");
+        self.judge(&format!("{name}, ended"), &stats, &place.program);
     }
 
     /// No part of the class whose effect must not come twice was read twice.
@@ -353,7 +367,8 @@
     for (number, place) in all {
         let mut place = place.lock().expect("no panic");
         if place.program.is_running() {
-            soak.judge(&format!("n{number}"), &place.program.stats());
+            let stats = place.program.stats();
+            soak.judge(&format!("n{number}"), &stats, &place.program);
         } else {
             soak.breaks(format!("n{number} has ended by itself"));
         }
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -284,6 +284,12 @@
         self.book.next_look()
     }
 
+    /// What follows from what happened without a decision, to be carried out before anything else runs: parts that are
+    /// still in line for a client that has left or for an index server that drains are taken back.
+    pub fn at_once(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
     // ---- deciding ----
 
     /// Hands all that is ready to the module once and returns what is to be done, in order. What that
--- a/crates/node/tests/host.rs
+++ b/crates/node/tests/host.rs
@@ -363,6 +363,22 @@
     assert!(!world.host.can_serve(), "the only one left drains");
 }
 
+#[test]
+fn what_is_in_line_for_a_client_that_has_left_is_taken_back_before_anything_else_runs() {
+    let mut world = World::new();
+    let query = world.ask(ALL, &[0, 1, 2]).expect("taken");
+    let tickets = world.tickets();
+    assert_eq!(tickets.len(), 3);
+    world.host.gone(query);
+    // No turn in between: other tasks may write what is in line before the next one.
+    let orders = world.host.at_once();
+    let withdrawn = tickets.iter().filter(|ticket| orders.contains(&Order::Withdraw(**ticket))).count();
+    assert_eq!(withdrawn, 3, "{orders:?}");
+    // What had been written by then is cancelled by the decision that follows.
+    world.turn();
+    assert!(world.tickets().is_empty());
+}
+
 #[test]
 fn a_lost_list_is_asked_for_again() {
     let mut world = World::new();
