What is in line is taken back as soon as a client has left or a server drains

Host::forget orders the withdrawal of every part still in line, whether attempts may be cancelled or not, and Core carries out what needs no decision (Host::at_once) right when it hears the word, before any other task runs.

--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -353,11 +353,10 @@
         for id in &held.parts {
             let Some(part) = self.table.parts.remove(id).filter(|part| part.out > 0) else { continue };
             self.orphans.push((*id, part.attempts));
-            if !self.deployment.settings.limits.cancel {
-                // The module may not cancel what is out; what still waits in line here need not go out for that.
-                let out = (0..part.attempts).filter_map(|attempt| self.book.ticket(*id, attempt));
-                self.orders.extend(out.map(Order::Withdraw));
-            }
+            // What still waits in line here need not go out for that, and has to stay before any other task runs; what
+            // is written is for the module to cancel, where that is allowed.
+            let out = (0..part.attempts).filter_map(|attempt| self.book.ticket(*id, attempt));
+            self.orders.extend(out.map(Order::Withdraw));
         }
         self.of_class(held.class, |queries| queries.held.less());
         Some(held)
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -110,6 +110,13 @@
     }
 
     fn take(&mut self, message: Message) {
+        self.hear(message);
+        for order in self.host.at_once() {
+            self.carry_out(order);
+        }
+    }
+
+    fn hear(&mut self, message: Message) {
         let now = self.now();
         match message {
             Message::Query { token, ask, reply } => {
