A member whose store fails steps down and is opened again from what is on disk

Cause: net::run ended with the first error of Member::tick. Change: what that tick would have sent is dropped, the member given up and opened again every 250 ms until its store takes a boot record; commands are refused meanwhile with the store's error, peers hear nothing, no lease is acted under; what runs beside it is told anew.

--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -119,6 +119,11 @@
         })
     }
 
+    /// The fleet file it was opened with.
+    pub fn config(&self) -> &FleetFile {
+        &self.config
+    }
+
     /// This member's id.
     pub fn id(&self) -> u64 {
         self.id
--- a/crates/member/src/net.rs
+++ b/crates/member/src/net.rs
@@ -29,8 +29,8 @@
 /// Runs `member` until the process ends: listens on its address, ticks, and carries out what it decides.
 ///
 /// # Errors
-/// When the address can't be bound, or the store fails (the member stops then rather than go on unsure of what it
-/// wrote).
+/// When the address can't be bound. When the store fails the member is given up, rather than go on unsure of what it
+/// wrote, and opened again from what is on disk, as often as that takes.
 pub async fn run(
     mut member: Member,
     listen: SocketAddr,
@@ -60,7 +60,15 @@
         let mut out = Out::default();
         beside.feed(&mut member);
         tokio::select! {
-            _ = ticks.tick() => member.tick(&mut out)?,
+            _ = ticks.tick() => if let Err(error) = member.tick(&mut out) {
+                warn!(log, "store failed, stepping down"; "error" => %error);
+                // Nothing that rests on what may not be on disk leaves: no vote, no acknowledgement, no action.
+                let config = member.config().clone();
+                drop(member);
+                member = reopened(config, &mut inbound, &mut commands, &log).await;
+                beside.told_anew();
+                continue;
+            },
             Some(bytes) = inbound.recv() => member.receive(&bytes),
             Some((ask, reply)) = commands.recv() => answer(&mut member, ask, reply),
         }
@@ -69,6 +77,41 @@
     }
 }
 
+/// Between two tries to open the store of a member whose disk has failed.
+const REOPEN_WAIT: Duration = Duration::from_millis(250);
+
+/// Opens the member again once its store can be written; until then peers hear nothing of it and commands are refused.
+async fn reopened(
+    config: FleetFile,
+    inbound: &mut mpsc::Receiver<Vec<u8>>,
+    commands: &mut mpsc::Receiver<Command>,
+    log: &Logger,
+) -> Member {
+    let mut tries = tokio::time::interval(REOPEN_WAIT);
+    tries.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut reason = String::new();
+    loop {
+        tokio::select! {
+            _ = tries.tick() => match Member::open(config.clone(), log.clone()) {
+                Ok(member) => {
+                    info!(log, "store is back");
+                    return member;
+                }
+                Err(error) if error.to_string() == reason => {}
+                Err(error) => {
+                    warn!(log, "store still fails"; "error" => %error);
+                    reason = error.to_string();
+                }
+            },
+            // Raft sends again what matters.
+            Some(_) = inbound.recv() => {}
+            Some((_, reply)) = commands.recv() => {
+                let _ = reply.send(Reply::Refused(format!("the member's store fails: {reason}")));
+            }
+        }
+    }
+}
+
 fn answer(member: &mut Member, ask: Ask, reply: oneshot::Sender<Reply>) {
     let answer = match ask {
         Ask::Rollout(command) => return member.ask(command, reply),
@@ -111,6 +154,17 @@
         Ok(Beside { front: Some((acts, seen)), relay, waiting: None })
     }
 
+    /// A member that was opened anew is told again what the one before it knew.
+    fn told_anew(&mut self) {
+        if let Some((_, looks)) = &mut self.front {
+            looks.mark_changed();
+        }
+        if let Some(relay) = &mut self.relay {
+            relay.listed.mark_changed();
+            relay.told.mark_changed();
+        }
+    }
+
     fn feed(&mut self, member: &mut Member) {
         if let Some((_, looks)) = &mut self.front {
             if looks.has_changed().unwrap_or(false) {
