--- a/src/logic.rs
+++ b/src/logic.rs
@@ -311,8 +311,8 @@
     /// and what is sent into it is read when it is over: nobody is late by it. Covers pauses of everything;
     /// hurts where more than half of the replicas fall silent for good and all else is at rest.
     ///
-    /// A standstill that ends now: two replicas or more owe an answer, and for longer than parts take nothing came
-    /// from anybody, clients included. What comes first after it may be the first of many.
+    /// A standstill that ends now: two replicas or more owe an answer, and for longer than parts take nothing
+    /// came from anybody, clients included. What comes first after it may be the first of many.
     fn listen(&mut self, events: &[Event]) {
         let on = |id: &ReplicaId| self.replicas.get(id).is_some_and(|r| r.lifecycle == Lifecycle::On);
         let mut owing: BTreeMap<ReplicaId, Micros> = BTreeMap::new();
@@ -520,8 +520,8 @@
     }
 
     /// In a silence of all and just after it a new query waits, for a quarter of its aim at most: none reads
-    /// what is sent, and of the clients whose queries come in a bunch after it some have left by then. Right after a
-    /// standstill every query waits, also with what it would send again.
+    /// what is sent, and of the clients whose queries come in a bunch after it some have left by then. Right
+    /// after a standstill every query waits, also with what it would send again.
     fn settles(&mut self, query: &Query) -> bool {
         let new = !query.admitted && self.hush.1 > Micros(0);
         let latest = query.came + self.latest_copy(query.class * 2).times(0.5);
