--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -434,9 +434,7 @@
             if self.stream.readable().await.is_err() {
                 return Err(Reason::IoError);
             }
-            let mut scratch = self.front.scratch.borrow_mut();
-            let read = uninterrupted(|| self.stream.try_read(&mut scratch));
-            match read {
+            match self.try_read() {
                 Ok(0) => {
                     return Err(if self.requests.is_empty() {
                         Reason::ClientClosed
@@ -444,22 +442,24 @@
                         Reason::ClientGone
                     });
                 }
-                Ok(count) => {
-                    self.bytes_in += count as u64;
-                    self.front.counters.connections.client_bytes_in.more(count as u64);
-                    self.requests.feed(&scratch[..count]);
-                    return Ok(());
-                }
+                Ok(_) => return Ok(()),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(error) if lacks_buffers(&error) => {
-                    drop(scratch);
-                    tokio::time::sleep(BUFFER_WAIT).await;
-                }
+                Err(error) if lacks_buffers(&error) => tokio::time::sleep(BUFFER_WAIT).await,
                 Err(_) => return Err(Reason::Reset),
             }
         }
     }
 
+    /// Takes the bytes that are there and says how many; 0 are the client's end.
+    fn try_read(&mut self) -> std::io::Result<usize> {
+        let mut scratch = self.front.scratch.borrow_mut();
+        let count = uninterrupted(|| self.stream.try_read(&mut scratch))?;
+        self.bytes_in += count as u64;
+        self.front.counters.connections.client_bytes_in.more(count as u64);
+        self.requests.feed(&scratch[..count]);
+        Ok(count)
+    }
+
     /// Waits for the client to send something or to leave; false where it has left.
     async fn stays(&mut self) -> bool {
         if self.requests.wants() {
@@ -486,15 +486,8 @@
         if !self.requests.wants() {
             return false;
         }
-        let mut scratch = self.front.scratch.borrow_mut();
-        match uninterrupted(|| self.stream.try_read(&mut scratch)) {
-            Ok(0) => true,
-            Ok(count) => {
-                self.bytes_in += count as u64;
-                self.front.counters.connections.client_bytes_in.more(count as u64);
-                self.requests.feed(&scratch[..count]);
-                false
-            }
+        match self.try_read() {
+            Ok(count) => count == 0,
             Err(error) => error.kind() != ErrorKind::WouldBlock && !lacks_buffers(&error),
         }
     }
@@ -566,9 +559,7 @@
                 if self.stream.readable().await.is_err() {
                     return;
                 }
-                let mut scratch = self.front.scratch.borrow_mut();
-                let read = uninterrupted(|| self.stream.try_read(&mut scratch));
-                drop(scratch);
+                let read = uninterrupted(|| self.stream.try_read(&mut self.front.scratch.borrow_mut()));
                 match read {
                     Ok(0) => return,
                     Ok(count) => left = left.saturating_sub(count),
