The check of servers out of service costs a look-up, whatever the fleet's size

Read once more: it rebuilt a set of all index servers at each change of the list; at 3,200 servers that is work a front node's processor time is measured by.

--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -245,11 +245,6 @@
         self.roster.started(name)
     }
 
-    /// Who is in service.
-    pub fn in_service(&self) -> impl Iterator<Item = ReplicaId> + '_ {
-        self.roster.in_service()
-    }
-
     /// Whether there is anyone to send to.
     pub fn can_serve(&self) -> bool {
         self.roster.can_serve()
--- a/crates/node/src/host/roster.rs
+++ b/crates/node/src/host/roster.rs
@@ -149,12 +149,6 @@
         (known.line.lifecycle == Lifecycle::On).then_some(&known.peer)
     }
 
-    /// Who is in service.
-    pub(super) fn in_service(&self) -> impl Iterator<Item = ReplicaId> + '_ {
-        let on = self.replicas.iter().filter(|(_, known)| known.line.lifecycle == Lifecycle::On);
-        on.map(|(replica, _)| *replica)
-    }
-
     /// Whether there is anyone to send to.
     pub(super) fn can_serve(&self) -> bool {
         self.replicas.values().any(|known| known.line.lifecycle == Lifecycle::On)
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -165,10 +165,7 @@
                 self.pools.stayed(&tickets);
                 tickets.into_iter().for_each(|ticket| self.host.stayed(now, ticket));
             }
-            Message::News(news) => {
-                self.host.news(now, &news, false);
-                self.invariants.in_service(self.host.in_service());
-            }
+            Message::News(news) => self.host.news(now, &news, false),
             Message::NewsFailed => self.host.news_failed(),
             Message::StopBy(at) => {
                 self.stopping = true;
@@ -188,6 +185,7 @@
             }
             Order::Retire(replica) => {
                 let now = self.now();
+                self.invariants.retired(replica);
                 self.pools.retire(replica).into_iter().for_each(|ticket| self.host.stayed(now, ticket));
             }
             Order::Withdraw(ticket) => {
@@ -222,7 +220,10 @@
 
     fn send(&mut self, replica: ReplicaId, parts: Vec<Sending>, now: Micros) {
         let stayed = match self.host.peer_in_service(replica) {
-            Some(peer) => self.pools.send(replica, peer, parts),
+            Some(peer) => {
+                self.invariants.sent_in_service(replica);
+                self.pools.send(replica, peer, parts)
+            }
             None => parts.iter().map(|part| part.ticket).collect(),
         };
         for ticket in stayed {
@@ -284,7 +285,6 @@
     let mut host = host.with_names(&config.spoken.names.bodies);
     host.news(Micros(0), &config.known, true);
     let invariants = Rc::new(Invariants::new(counters.clone(), recorder.clone(), log.clone()));
-    invariants.in_service(host.in_service());
     let moved = Rc::new(Notify::new());
     let (source, index) = (config.discovery, config.known.index);
     let live = Rc::new(Live::new(config));
