--- a/crates/node/tests/inside/host.rs
+++ b/crates/node/tests/inside/host.rs
@@ -13,20 +13,25 @@
     Host::new(Rc::new(deployment), Rc::default(), 1, 0, Micros(0))
 }
 
-#[test]
-fn ids_come_round_without_naming_what_is_still_there() {
-    let mut host = host();
-    host.table.next_id = Id::MAX - 1;
-    let part = PartHeld {
-        query: 9,
+/// A part of a query with so many attempts, all of them out.
+fn part_of(query: Id, attempts: u32) -> PartHeld {
+    PartHeld {
+        query,
         shard: 0,
         step: 1,
-        attempts: 0,
-        out: 0,
+        attempts,
+        out: attempts,
         value: None,
         latest: None,
         may_have_run: false,
-    };
+    }
+}
+
+#[test]
+fn ids_come_round_without_naming_what_is_still_there() {
+    let mut host = host();
+    host.table.next_id = Id::MAX - 1;
+    let part = part_of(9, 0);
     host.table.parts.insert(0, part);
     host.book.book(Out { part: 1, attempt: 0, replica: 0, sent: Micros(0), timer: None });
     assert_eq!([host.fresh_id(), host.fresh_id()], [Id::MAX, 2]);
@@ -37,16 +42,7 @@
     let mut host = host();
     let mut held = host.table.begin("q".into(), "".into(), 0, Micros(1000));
     held.parts.push(8);
-    let part = PartHeld {
-        query: 7,
-        shard: 0,
-        step: 1,
-        attempts: 1,
-        out: 1,
-        value: None,
-        latest: None,
-        may_have_run: false,
-    };
+    let part = part_of(7, 1);
     host.table.parts.insert(8, part);
     host.table.hold(7, held);
     let ticket = host.book.book(Out { part: 8, attempt: 0, replica: 0, sent: Micros(0), timer: None });
@@ -61,16 +57,7 @@
 #[test]
 fn an_attempt_that_outlives_its_query_s_end_by_a_turn_is_told() {
     let mut host = host();
-    let part = PartHeld {
-        query: 7,
-        shard: 0,
-        step: 1,
-        attempts: 1,
-        out: 1,
-        value: None,
-        latest: None,
-        may_have_run: false,
-    };
+    let part = part_of(7, 1);
     let mut held = host.table.begin("q".into(), "".into(), 0, Micros(1000));
     held.parts.push(8);
     host.table.parts.insert(8, part);
