--- a/crates/faultshim/tests/common/mod.rs
+++ b/crates/faultshim/tests/common/mod.rs
@@ -14,18 +14,30 @@
     Duration::from_millis(span)
 }
 
-/// A file that cargo built beside this test (`cargo test --workspace` builds all of them).
-pub fn built(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("a path");
-    let folder = test.parent().and_then(|deps| deps.parent()).expect("target/debug/deps");
-    let path = folder.join(name);
-    assert!(path.exists(), "{} is not there: cargo build --workspace", path.display());
-    path
+/// The folder of this test's own program: `target/PROFILE/deps`.
+fn own_folder() -> PathBuf {
+    let test = std::env::current_exe().expect("the path of this test");
+    test.parent().expect("a test in a folder").to_owned()
 }
 
-/// The front node.
+/// The path, if a file is there; `hint` tells how to get it.
+fn existing(path: PathBuf, hint: &str) -> String {
+    assert!(path.exists(), "{} is not there: {hint}", path.display());
+    path.display().to_string()
+}
+
+/// The front node, which cargo puts above this test's folder (with `cargo test --workspace`).
 pub fn node() -> String {
-    built("pinetrestle-node").display().to_string()
+    let folder = own_folder().parent().expect("target/PROFILE").to_owned();
+    existing(folder.join("pinetrestle-node"), "cargo build --workspace")
+}
+
+/// The fault shim, which cargo builds for the tests of this crate and leaves beside them.
+pub fn shim() -> String {
+    existing(
+        own_folder().join("libpinetrestle_faultshim.so"),
+        "crate-type of this crate lacks cdylib or rlib",
+    )
 }
 
 /// The wall clock in milliseconds.
@@ -52,7 +64,7 @@
             "export FAULTSHIM='{}' FAULTSHIM_REPORT='{}' LD_PRELOAD='{}'",
             self.plan,
             self.report.display(),
-            built("libpinetrestle_faultshim.so").display()
+            shim()
         )
     }
 
