A member starts also where its address is taken or its disk is full for a moment

Cause: net.rs, relay.rs and sink.rs of the member bound their listeners once, and cli.rs ended with the first error of Member::open. Change: crates/system-calls holds them for both; all three listeners are tried for 5 s. A store that can't be opened for its disk's sake (ENOSPC, EDQUOT, EFBIG, EIO, no descriptors, no memory) is opened again while the member refuses commands with the reason; the waits double from 250 ms to 4 s, since each opening appends a record. The store's errors keep the system's own as their source: before, only the kind came through, and EIO has none. A wrong path or permission still ends the program. The same mistake elsewhere: the front driver's child and the relay's calls to discovery try again for ever already.

--- a/crates/member/src/cli.rs
+++ b/crates/member/src/cli.rs
@@ -4,7 +4,6 @@
 //! 2 a bad command line or operator file (nothing was changed); 3 the member refused.
 
 use crate::config::FleetFile;
-use crate::member::Member;
 use crate::net;
 use crate::wire::{Ask, Reply, Status};
 use clap::{Args, Parser, Subcommand};
@@ -237,14 +236,7 @@
         }
     };
     let (sink, tick) = (file.sink, Duration::from_millis(file.tick_ms));
-    let member = match Member::open(file, log.clone()) {
-        Ok(member) => member,
-        Err(error) => {
-            slog::error!(log, "member could not start"; "error" => %error);
-            return ExitCode::from(1);
-        }
-    };
-    match net::run(member, listen, peers, sink, tick, beside, log.clone()).await {
+    match net::run(file, listen, peers, sink, tick, beside, log.clone()).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             slog::error!(log, "member stopped"; "error" => %error);
--- a/crates/member/src/net.rs
+++ b/crates/member/src/net.rs
@@ -8,6 +8,7 @@
 use crate::wire::{self, Action, Ask, Hello, Reply};
 use futures_util::{SinkExt, StreamExt};
 use pinetrestle_rollout::Act;
+use pinetrestle_system_calls::is_disk_trouble;
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,13 +27,15 @@
 /// A command of the `fleet` program and where its answer goes.
 type Command = (Ask, oneshot::Sender<Reply>);
 
-/// Runs `member` until the process ends: listens on its address, ticks, and carries out what it decides.
+/// Runs the member of this file until the process ends: listens on its address, ticks, and carries out what it decides.
+/// When the store fails, at the start or later, the member is given up, rather than go on unsure of what it wrote, and
+/// opened again from what is on disk, as often as that takes.
 ///
 /// # Errors
-/// When the address can't be bound. When the store fails the member is given up, rather than go on unsure of what it
-/// wrote, and opened again from what is on disk, as often as that takes.
+/// When the address can't be bound for [`pinetrestle_system_calls::START_WITHIN`], or the store can't be opened for
+/// another reason than that its disk is in trouble.
 pub async fn run(
-    mut member: Member,
+    config: FleetFile,
     listen: SocketAddr,
     peers: Vec<(u64, SocketAddr)>,
     sink: Option<SocketAddr>,
@@ -40,12 +43,19 @@
     mut beside: Beside,
     log: Logger,
 ) -> std::io::Result<()> {
-    let listener = TcpListener::bind(listen).await?;
+    let listener = pinetrestle_system_calls::listen(listen).await?;
     info!(log, "listening"; "addr" => %listen);
     let (inbox, mut inbound) = mpsc::channel(INBOX);
     let (commands_tx, mut commands) = mpsc::channel(COMMANDS);
     tokio::task::spawn_local(accept(listener, inbox, commands_tx, log.clone()));
-    let me = member.id();
+    let me = config.id;
+    let mut member = match Member::open(config.clone(), log.clone()) {
+        Err(error) if is_disk_trouble(&error) => {
+            warn!(log, "store can't be opened yet"; "error" => %error);
+            reopened(config, &mut inbound, &mut commands, &log).await
+        }
+        opened => opened?,
+    };
     let link_to = |addr: SocketAddr, hello: Hello| {
         let (tx, rx) = mpsc::channel(PEER_QUEUE);
         tokio::task::spawn_local(send_to(addr, wire::encode(&hello), rx, log.clone()));
@@ -77,8 +87,10 @@
     }
 }
 
-/// Between two tries to open the store of a member whose disk has failed.
-const REOPEN_WAIT: Duration = Duration::from_millis(250);
+/// The first wait before the store of a member whose disk has failed is opened again; it doubles each time.
+const FIRST_REOPEN_WAIT: Duration = Duration::from_millis(250);
+/// The longest of these waits: each opening appends a record, also where only its sync fails.
+const LONGEST_REOPEN_WAIT: Duration = Duration::from_secs(4);
 
 /// Opens the member again once its store can be written; until then peers hear nothing of it and commands are refused.
 async fn reopened(
@@ -87,22 +99,26 @@
     commands: &mut mpsc::Receiver<Command>,
     log: &Logger,
 ) -> Member {
-    let mut tries = tokio::time::interval(REOPEN_WAIT);
-    tries.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut wait = FIRST_REOPEN_WAIT;
+    let mut next_try = tokio::time::Instant::now();
     let mut reason = String::new();
     loop {
         tokio::select! {
-            _ = tries.tick() => match Member::open(config.clone(), log.clone()) {
-                Ok(member) => {
-                    info!(log, "store is back");
-                    return member;
-                }
-                Err(error) if error.to_string() == reason => {}
-                Err(error) => {
-                    warn!(log, "store still fails"; "error" => %error);
-                    reason = error.to_string();
+            () = tokio::time::sleep_until(next_try) => {
+                match Member::open(config.clone(), log.clone()) {
+                    Ok(member) => {
+                        info!(log, "store is back");
+                        return member;
+                    }
+                    Err(error) if error.to_string() == reason => {}
+                    Err(error) => {
+                        warn!(log, "store still fails"; "error" => %error);
+                        reason = error.to_string();
+                    }
                 }
-            },
+                next_try = tokio::time::Instant::now() + wait;
+                wait = (wait * 2).min(LONGEST_REOPEN_WAIT);
+            }
             // Raft sends again what matters.
             Some(_) = inbound.recv() => {}
             Some((_, reply)) = commands.recv() => {
--- a/crates/member/src/relay.rs
+++ b/crates/member/src/relay.rs
@@ -79,9 +79,9 @@
 /// Starts the relay: watches discovery, listens for the front node.
 ///
 /// # Errors
-/// When the address can't be bound.
+/// When the address can't be bound for [`pinetrestle_system_calls::START_WITHIN`].
 pub async fn start(file: &RelayFile, looks: watch::Receiver<Look>, log: Logger) -> std::io::Result<Ends> {
-    let listener = TcpListener::bind(file.listen).await?;
+    let listener = pinetrestle_system_calls::listen(file.listen).await?;
     let (upstream_tx, upstream) = watch::channel(None);
     let (listed_tx, listed) = watch::channel(None);
     let (view_tx, view) = watch::channel(View::default());
--- a/crates/member/src/sink.rs
+++ b/crates/member/src/sink.rs
@@ -8,7 +8,6 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 /// Actions waiting for the fence, at most.
@@ -36,9 +35,9 @@
 /// Runs the sink on `listen`, writing its record to `out`, until the process ends.
 ///
 /// # Errors
-/// When the address can't be bound or the record can't be written.
+/// When the address can't be bound for [`pinetrestle_system_calls::START_WITHIN`] or the record can't be written.
 pub async fn run(listen: SocketAddr, mut out: Box<dyn Write>) -> std::io::Result<()> {
-    let listener = TcpListener::bind(listen).await?;
+    let listener = pinetrestle_system_calls::listen(listen).await?;
     // The address taken, port 0 resolved, for whoever started the sink.
     eprintln!("listening {}", listener.local_addr()?);
     let (tx, mut rx) = mpsc::channel::<(u64, Action)>(QUEUE);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,11 +2,11 @@
 
 use crate::clients::MOST_LEAVING;
 use crate::flight::Flight;
-use crate::system_calls::is_local;
 use pinetrestle_protocol::names::Names;
 use pinetrestle_protocol::registry::{self, News};
 use pinetrestle_settings::fields::{count, field, maybe, text, Fault, Parsed};
 use pinetrestle_settings::{Deployment, Words};
+use pinetrestle_system_calls::is_local;
 use serde_json::Value;
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,7 +20,6 @@
 mod reload;
 mod run;
 mod shutdown;
-mod system_calls;
 mod upstream;
 
 pub use config::Config;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -13,13 +13,13 @@
 use crate::pulse::Pulse;
 use crate::reload::{at_signals, follow, hang_ups, Reloads};
 use crate::shutdown::{Phase, StopSignals};
-use crate::system_calls::{is_local, listen as listen_at};
 use crate::upstream::{Instruments, Pools};
 use clap::Parser;
 use pinetrestle::interface::{Id, Micros, ReplicaId};
 use pinetrestle_protocol::link::Sending;
 use pinetrestle_protocol::watches::Watches;
 use pinetrestle_recorder::{key_of, Key, Record, Recorder, Step};
+use pinetrestle_system_calls::{is_local, listen as listen_at, START_WITHIN};
 use slog::{error, info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -34,9 +34,6 @@
 /// Messages that may wait for the core; whoever has one more waits.
 const MOST_MESSAGES: usize = 1024;
 
-/// How long the program tries to listen and to get what it runs on, where the machine lacks something for a moment.
-const LISTEN_WITHIN: Duration = Duration::from_secs(5);
-
 /// Between two tries to get the runtime.
 const RUNTIME_WAIT: Duration = Duration::from_millis(20);
 
@@ -263,7 +260,7 @@
     stop: impl Future<Output = ()>,
 ) -> std::io::Result<()> {
     let Told { reloads, write_records } = told;
-    let listener = listen_at(config.listen, Instant::now() + LISTEN_WITHIN).await?;
+    let listener = listen_at(config.listen).await?;
     let listens_at = listener.local_addr()?;
     let (start, wall) = (Instant::now(), SystemTime::now());
     let epoch = wall.duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64;
@@ -373,7 +370,7 @@
 
 /// The runtime; where the machine has no descriptors or memory for it, tried again for a while.
 fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
-    let until = Instant::now() + LISTEN_WITHIN;
+    let until = Instant::now() + START_WITHIN;
     loop {
         let mut builder = tokio::runtime::Builder::new_current_thread();
         match builder.enable_all().max_blocking_threads(1).build() {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -32,9 +32,29 @@
 pub use record::{HEAD, MAX_RECORD};
 pub use snapshot::{read_snapshot, read_snapshot_on, write_snapshot, write_snapshot_on, Snapshot};
 
+use std::fmt;
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+
+/// An error of the file system and the file it is about; its source is the error itself, with its number.
+#[derive(Debug)]
+struct FileError {
+    path: PathBuf,
+    source: io::Error,
+}
+
+impl fmt::Display for FileError {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(to, "{}: {}", self.path.display(), self.source)
+    }
+}
+
+impl std::error::Error for FileError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        Some(&self.source)
+    }
+}
 
 pub(crate) fn with_path(error: io::Error, path: &Path) -> io::Error {
-    io::Error::new(error.kind(), format!("{}: {error}", path.display()))
+    io::Error::new(error.kind(), FileError { path: path.to_owned(), source: error })
 }
--- a/crates/system-calls/src/lib.rs
+++ b/crates/system-calls/src/lib.rs
@@ -19,7 +19,7 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(50);
 
 /// Repeats a call as long as a signal interrupts it.
-pub(crate) fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     loop {
         match call() {
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -29,7 +29,7 @@
 }
 
 /// Whether a call failed because this machine lacks something for the moment, and not because of its peer.
-pub(crate) fn is_local(error: &io::Error) -> bool {
+pub fn is_local(error: &io::Error) -> bool {
     let local = [
         Errno::ADDRINUSE,
         Errno::ADDRNOTAVAIL,
@@ -46,23 +46,43 @@
 }
 
 /// Whether a read or write on an open connection did nothing since this machine had no room for it just now.
-pub(crate) fn lacks_buffers(error: &io::Error) -> bool {
+pub fn lacks_buffers(error: &io::Error) -> bool {
     let buffers = [Errno::NOBUFS, Errno::NOMEM];
     Errno::from_io_error(error).is_some_and(|errno| buffers.contains(&errno))
 }
 
 /// How long to wait before a read or write is tried again that found no room.
-pub(crate) const BUFFER_WAIT: Duration = Duration::from_millis(2);
+pub const BUFFER_WAIT: Duration = Duration::from_millis(2);
 
 /// Whether accepting failed because this machine has no room for any connection; else only the connection that was
 /// accepted is gone, and the next one may be taken at once.
-pub(crate) fn lacks_room(error: &io::Error) -> bool {
+pub fn lacks_room(error: &io::Error) -> bool {
     let room = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
     Errno::from_io_error(error).is_some_and(|errno| room.contains(&errno))
 }
 
+/// Whether a call on a file failed because its disk or this machine can't do it for the moment: no room, no quota, a
+/// device that fails, no descriptors. It may be done again once that is over; a wrong path or permission may not.
+pub fn is_disk_trouble(error: &io::Error) -> bool {
+    let trouble = [
+        Errno::AGAIN,
+        Errno::DQUOT,
+        Errno::FBIG,
+        Errno::INTR,
+        Errno::IO,
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::NOMEM,
+        Errno::NOSPC,
+    ];
+    // A library may have added the path of the file and kept the system's own error as the source.
+    let source = error.get_ref().and_then(|added| added.source());
+    let system = source.and_then(|source| source.downcast_ref::<io::Error>()).unwrap_or(error);
+    Errno::from_io_error(system).is_some_and(|errno| trouble.contains(&errno))
+}
+
 /// Does something again as long as it fails for a local reason, until a moment has passed; then its last error stands.
-pub(crate) async fn until_done<T, F: Future<Output = io::Result<T>>>(
+pub async fn until_done<T, F: Future<Output = io::Result<T>>>(
     until: Instant,
     mut call: impl FnMut() -> F,
 ) -> io::Result<T> {
@@ -81,23 +101,26 @@
 ///
 /// # Errors
 /// As `connect(2)`; a local one only once `until` is as good as over.
-pub(crate) async fn connect(address: SocketAddr, until: Instant) -> io::Result<TcpStream> {
+pub async fn connect(address: SocketAddr, until: Instant) -> io::Result<TcpStream> {
     until_done(until, || TcpStream::connect(address)).await
 }
 
-/// Listens, trying again while this machine does not let it.
+/// How long a program that starts tries to listen, and to get what else it runs on.
+pub const START_WITHIN: Duration = Duration::from_secs(5);
+
+/// Listens, trying again for [`START_WITHIN`] while this machine does not let it.
 ///
 /// # Errors
-/// As `bind(2)` and `listen(2)`; a local one only once `until` is as good as over.
-pub(crate) async fn listen(address: SocketAddr, until: Instant) -> io::Result<TcpListener> {
-    until_done(until, || TcpListener::bind(address)).await
+/// As `bind(2)` and `listen(2)`; a local one only once the time is as good as over.
+pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    until_done(Instant::now() + START_WITHIN, || TcpListener::bind(address)).await
 }
 
 /// Reads what comes next; 0 bytes are the end.
 ///
 /// # Errors
 /// As `recv(2)`, but for an interruption.
-pub(crate) async fn read(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
+pub async fn read(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
     loop {
         stream.readable().await?;
         match uninterrupted(|| stream.try_read(buffer)) {
@@ -112,7 +135,7 @@
 ///
 /// # Errors
 /// As `send(2)`, but for an interruption.
-pub(crate) async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
         stream.ready(Interest::WRITABLE).await?;
         match uninterrupted(|| stream.try_write(bytes)) {
