Failing test: a query sent ahead of an answer is given time that its client has not left

Found by mapping the term on deadlines to all paths on which a request waits: read_request dates what was sent ahead of the last answer by the moment at which its turn comes.

--- a/crates/node/tests/effects.rs
+++ b/crates/node/tests/effects.rs
@@ -236,12 +236,44 @@
     let server = late.open(Doing::Serving);
     assert_eq!(client.read().status, 200);
     let seen = server.seen();
-    let told = seen[0].list.strip_prefix("d=").and_then(|list| list.split(',').next()).expect("a wait");
-    let told: u64 = told.parse().expect("milliseconds");
+    let told = told_ms(&seen[0].list);
     assert!(waited + ms(told) <= ms(2900), "{told} ms told {waited:?} after the query came");
     assert!(told > 0);
 }
 
+/// The milliseconds that the index server of a part is told.
+fn told_ms(list: &str) -> u64 {
+    let told = list.strip_prefix("d=").and_then(|list| list.split(',').next()).expect("a wait");
+    told.parse().expect("milliseconds")
+}
+
+#[test]
+fn a_query_sent_ahead_of_an_answer_has_the_time_since_it_was_sent() {
+    const TAKES_MS: u64 = 600;
+    const EXPIRES_MS: u64 = 1500;
+    let server = Server::start(Doing::ServingAfter(ms(TAKES_MS)));
+    let stage = Stage::new("retryable", &[server.address], |config| {
+        config["settings"]["classes"][1]["aim"] = 2_900_000.into();
+    });
+    let mut client = Client::to(stage.program.address);
+    let texts: Vec<String> = (0..4).map(|_| query("all", &[0], EXPIRES_MS).1).collect();
+    client.write(texts.concat().as_bytes());
+    let statuses: Vec<u16> = (0..4).map(|_| client.read().status).collect();
+    // The second has waited for the first, the third for both; nothing is left of the time of the fourth.
+    assert_eq!(statuses[..2], [200, 200]);
+    let told: Vec<u64> = server.seen().iter().map(|part| told_ms(&part.list)).collect();
+    for (place, told) in told.iter().enumerate() {
+        let left = EXPIRES_MS.saturating_sub(TAKES_MS * place as u64);
+        assert!(*told <= left, "part {place} is told {told} ms where {left} are left: {statuses:?}");
+    }
+    assert!(told.len() < 4, "a part is sent for which no time is left: {told:?}");
+    // What has come since then is not taken for older than it is.
+    thread::sleep(ms(100));
+    assert_eq!(client.send(&query("all", &[0], EXPIRES_MS).1).status, 200);
+    let last = server.seen().last().map(|part| told_ms(&part.list));
+    assert!(last >= Some(EXPIRES_MS - 100), "{last:?}");
+}
+
 #[test]
 fn what_is_in_line_for_a_server_that_begins_to_drain_goes_to_another() {
     let late = Late::start();
