A query sent ahead of an answer has the time since it came

Cause: Client::read_request dated what was buffered behind the last answer by the moment of its turn. With n queries sent ahead of each other the n-th told its index servers as much too much as the others before it had taken. Requests::ahead says how many bytes lie behind the front one. Ruled out: dating all by the oldest byte unread, which would let a client that always sends ahead run out of time.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,5 +1,6 @@
 //! Connections of clients: the listener and the task that drives each connection.
 
+use crate::arrivals::Arrivals;
 use crate::config::Live;
 use crate::counters::Counters;
 use crate::host::{Ask, NotTaken, Reply};
@@ -225,6 +226,7 @@
     stream: TcpStream,
     phases: Phases,
     requests: Requests,
+    arrivals: Arrivals,
     served: u64,
     /// Requests turned down as malformed.
     bad: u32,
@@ -246,6 +248,7 @@
             stream,
             phases,
             requests: Requests::default(),
+            arrivals: Arrivals::default(),
             served: 0,
             bad: 0,
             accepted: begun,
@@ -281,7 +284,10 @@
 
     /// One request and its answer.
     async fn exchange(&mut self) -> Result<(), Over> {
-        let arrived = self.read_request().await?;
+        let begun = self.read_request().await?;
+        // One that was sent ahead of the last answer has waited its turn since it came.
+        let end = self.bytes_in - self.requests.ahead() as u64;
+        let arrived = self.arrivals.arrived(end).map_or(begun, |came| came.min(begun));
         self.served += 1;
         self.front.counters.connections.requests.one();
         let Some(request) = self.requests.request() else { return Err(Reason::IoError) };
@@ -343,7 +349,7 @@
     async fn read_request(&mut self) -> Result<Instant, Over> {
         let config = self.front.live.get();
         let transport = &config.transport;
-        // What was sent ahead of the last answer has begun by now.
+        // What was sent ahead of the last answer is under way by now.
         let mut arrived = (!self.requests.is_empty()).then(Instant::now);
         let rests_since = Instant::now();
         // The first request has until then, however it comes.
@@ -456,6 +462,7 @@
         let count = uninterrupted(|| self.stream.try_read(&mut scratch))?;
         self.bytes_in += count as u64;
         self.front.counters.connections.client_bytes_in.more(count as u64);
+        self.arrivals.read(self.bytes_in, self.front.pulse.earliest(), count < scratch.len());
         self.requests.feed(&scratch[..count]);
         Ok(count)
     }
@@ -465,6 +472,7 @@
         if self.requests.wants() {
             return self.read().await.is_ok();
         }
+        self.arrivals.stop_reading(Instant::now());
         self.hung_up().await;
         false
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! around it feed it through one bounded channel and carry out what it orders.
 
 mod arguments;
+mod arrivals;
 mod clients;
 pub mod config;
 pub mod counters;
--- a/crates/protocol/src/requests.rs
+++ b/crates/protocol/src/requests.rs
@@ -164,6 +164,11 @@
         Some(Request { head, bytes: &self.buffer, body })
     }
 
+    /// Bytes that came behind the request at the front, once that is whole.
+    pub fn ahead(&self) -> usize {
+        self.used.map_or(0, |used| self.buffer.len() - used)
+    }
+
     /// Forgets the request at the front; the next one begins after it.
     pub fn finish(&mut self) {
         if let Some(used) = self.used.take() {
