Starts are dated by what discovery tells alone, also those of the first list

Cause: StartTimes believed our wall clock for the first list, and a date once given stays. With the clock an hour ahead as the process began, a server that had started a moment before was warm for good. Change: the wall clock is no longer read by anything that decides; the youngest server of the first list counts as just started, the others as older by what lies between them. Beside it a second way in which a cold server looked warm: a start named while the others' clock was an hour ahead made the bound too great for ever; starts told later count as at most 6 s older than the news in which they were missing. The old test expected the wall clock to be believed where it is ahead: replaced by one that expects the careful date, stricter for that case and the same for all others.

--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -47,15 +47,8 @@
 }
 
 impl Host {
-    /// A host with a module that knows nothing yet. `epoch` is the Unix time in microseconds at which the
-    /// host's clock stood at 0.
-    pub fn new(
-        deployment: Rc<Deployment>,
-        counters: Rc<Counters>,
-        seed: u64,
-        epoch: i64,
-        now: Micros,
-    ) -> Host {
+    /// A host with a module that knows nothing yet.
+    pub fn new(deployment: Rc<Deployment>, counters: Rc<Counters>, seed: u64, now: Micros) -> Host {
         Host {
             node: FrontNode::new(deployment.settings.clone(), seed, now),
             deployment,
@@ -66,7 +59,7 @@
             orders: Vec::new(),
             table: Table::default(),
             book: Book::new(),
-            roster: Roster::new(epoch),
+            roster: Roster::default(),
             orphans: Vec::new(),
             stop_at: None,
         }
@@ -215,6 +208,7 @@
 
     /// Asking for the list failed, or the watch was lost.
     pub fn news_failed(&mut self) {
+        self.roster.watch_lost();
         self.events.push(Event::ListFailed);
     }
 
--- a/crates/node/src/host/roster.rs
+++ b/crates/node/src/host/roster.rs
@@ -19,6 +19,7 @@
     left: u64,
 }
 
+#[derive(Default)]
 pub(super) struct Roster {
     starts: StartTimes,
     replicas: BTreeMap<ReplicaId, Known>,
@@ -28,15 +29,10 @@
 }
 
 impl Roster {
-    pub(super) fn new(epoch: i64) -> Roster {
-        let (replicas, names) = (BTreeMap::new(), HashMap::new());
-        Roster { starts: StartTimes::new(epoch), replicas, names, next_replica: 0, departures: 0 }
-    }
-
     /// Takes what discovery told, or what was stored of it before this process began: the lines for the module, and who
     /// is to get nothing new by that.
     pub(super) fn news(&mut self, now: Micros, news: &News, stored: bool) -> (Vec<Listed>, Vec<ReplicaId>) {
-        self.starts.news(now, news.entries.iter().map(|entry| entry.since_ms));
+        self.starts.news(now, news.whole, stored, news.entries.iter().map(|entry| entry.since_ms));
         let (mut lines, mut retired) = (Vec::with_capacity(news.entries.len()), Vec::new());
         let mut named = HashSet::new();
         for entry in &news.entries {
@@ -85,11 +81,15 @@
                 retired.extend(self.leave(replica));
             }
         }
-        self.starts.taken(stored);
         self.forget_left();
         (lines, retired)
     }
 
+    /// The watch on discovery is lost.
+    pub(super) fn watch_lost(&mut self) {
+        self.starts.watch_lost();
+    }
+
     /// A replica is no longer listed; none if it was not.
     fn leave(&mut self, replica: ReplicaId) -> Option<ReplicaId> {
         let known = self.replicas.get_mut(&replica);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -26,7 +26,7 @@
 use std::future::Future;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::task::LocalSet;
 use tokio::time::{sleep_until, timeout, Instant};
@@ -262,8 +262,7 @@
     let Told { reloads, write_records } = told;
     let listener = listen_at(config.listen).await?;
     let listens_at = listener.local_addr()?;
-    let (start, wall) = (Instant::now(), SystemTime::now());
-    let epoch = wall.duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64;
+    let start = Instant::now();
     let (to_core, inbox) = mpsc::channel(MOST_MESSAGES);
     let (ask_discovery, asked) = mpsc::channel(1);
     let (phase, phases) = watch::channel(Phase::Serving);
@@ -278,7 +277,7 @@
         tokio::task::spawn_local(records.clone().run(write_records));
     }
     let deployment = Rc::new(config.deployment.clone());
-    let host = Host::new(deployment, counters.clone(), config.seed, epoch, Micros(0));
+    let host = Host::new(deployment, counters.clone(), config.seed, Micros(0));
     let mut host = host.with_names(&config.spoken.names.bodies);
     host.news(Micros(0), &config.known, true);
     let invariants = Rc::new(Invariants::new(counters.clone(), recorder.clone(), log.clone()));
--- a/crates/node/tests/host.rs
+++ b/crates/node/tests/host.rs
@@ -35,7 +35,7 @@
 
     fn of(config: &Config) -> World {
         let counters = Rc::new(Counters::new(&config.deployment.classes));
-        let mut host = Host::new(Rc::new(config.deployment.clone()), counters.clone(), 5, 0, Micros(0));
+        let mut host = Host::new(Rc::new(config.deployment.clone()), counters.clone(), 5, Micros(0));
         host.news(Micros(0), &config.known, true);
         let mut world =
             World { host, counters, now: 0, out: BTreeMap::new(), replies: Vec::new(), watches: 0, asked: 0 };
@@ -535,38 +535,83 @@
     assert!(world.ask(ALL, &[0]).is_ok());
 }
 
-#[test]
-fn a_start_is_dated_by_what_discovery_tells_whatever_our_wall_clock_says() {
-    const SECOND: i64 = 1_000_000;
-    let true_epoch = 1_700_000_000 * SECOND;
-    for off in [-3600, -5, 0, 5, 3600] {
+/// Microseconds of a second.
+const SECOND: i64 = 1_000_000;
+/// The Unix time at which the host's clock stood at 0, by the clock of discovery and the index servers, in milliseconds.
+const EPOCH_MS: i64 = 1_700_000_000_000;
+
+/// A host with a clock of the test's own, which is told of starts.
+struct Dating {
+    host: Host,
+    index: u64,
+}
+
+impl Dating {
+    fn new() -> Dating {
         let config = config();
         let counters = Rc::new(Counters::new(&config.deployment.classes));
-        let epoch = true_epoch + off * SECOND;
-        let mut host = Host::new(Rc::new(config.deployment.clone()), counters, 5, epoch, Micros(0));
-        let entry = |name: &str, started: i64| Entry {
-            name: name.to_owned(),
+        Dating { host: Host::new(Rc::new(config.deployment.clone()), counters, 5, Micros(0)), index: 0 }
+    }
+
+    /// Tells, at this second of the host's clock, of servers that started at these seconds.
+    fn told(&mut self, at: f64, whole: bool, started: &[(&str, i64)]) {
+        let entries = started.iter().map(|(name, started)| Entry {
+            name: (*name).to_owned(),
             address: "127.0.0.1:7000".to_owned(),
             cell: 0,
             status: Status::Up,
             weight: 1.0,
-            since_ms: (true_epoch / 1000) + started * 1000,
-        };
-        let started = |host: &Host, name: &str| host.started(name).map(|at| at.0 / SECOND);
-        // The first list from discovery, at 2 s: one started 100 s before us, one 3 s before.
-        let old = vec![entry("old", -100), entry("young", -3)];
-        host.news(Micros(2 * SECOND), &News { index: 1, whole: true, entries: old }, false);
-        // A clock that is behind puts nothing into the future; one that is ahead is believed, for want of anything else.
-        let by_clock = |at: i64| at - off.max(-5);
-        assert_eq!(started(&host, "old"), Some(by_clock(-100)), "{off}");
-        assert_eq!(started(&host, "young"), Some(by_clock(-3)), "{off}");
-        // Told at 10.5 s, one that started at 10 s; the same line again later; one that came up 4 s before it was told,
-        // long after our wall clock began to matter no more.
-        let news = |entries| News { index: 2, whole: false, entries };
-        host.news(Micros(10_500_000), &news(vec![entry("new", 10)]), false);
-        assert_eq!(started(&host, "new"), Some(10), "{off}");
-        host.news(Micros(30 * SECOND), &news(vec![entry("new", 10), entry("late", 26)]), false);
-        assert_eq!(started(&host, "new"), Some(10), "{off}");
-        assert_eq!(started(&host, "late"), Some(26), "{off}");
+            since_ms: EPOCH_MS + started * 1000,
+        });
+        self.index += 1;
+        let news = News { index: self.index, whole, entries: entries.collect() };
+        self.host.news(Micros((at * SECOND as f64) as i64), &news, false);
+    }
+
+    /// The second at which a server is taken to have started.
+    fn date(&self, name: &str) -> Option<i64> {
+        self.host.started(name).map(|at| at.0 / SECOND)
     }
 }
+
+#[test]
+fn a_start_is_dated_by_what_discovery_tells() {
+    let mut dating = Dating::new();
+    // The first list, at 2 s: one started 100 s before us, one 3 s before. Nothing tells that the younger one did not
+    // start just now; the older one is older by what lies between them.
+    dating.told(2.0, true, &[("old", -100), ("young", -3)]);
+    assert_eq!(dating.date("young"), Some(2));
+    assert_eq!(dating.date("old"), Some(2 - 97));
+    // Told at 10.5 s, one that started at 10 s; the same line again later; one that came up 4 s before it was told.
+    dating.told(10.5, false, &[("new", 10)]);
+    assert_eq!(dating.date("new"), Some(10));
+    dating.told(30.0, false, &[("new", 10), ("late", 26)]);
+    assert_eq!(dating.date("new"), Some(10));
+    assert_eq!(dating.date("late"), Some(26));
+}
+
+#[test]
+fn a_start_told_just_now_is_not_taken_for_an_old_one_whatever_clocks_say() {
+    let mut dating = Dating::new();
+    dating.told(1.0, true, &[("first", -50)]);
+    // The clock of all machines is an hour ahead for a while; a server starts; the clock is set right; others start.
+    dating.told(20.0, false, &[("ahead", 3600 + 20)]);
+    assert_eq!(dating.date("ahead"), Some(20));
+    dating.told(40.0, false, &[("behind", 40)]);
+    assert!(dating.date("behind") >= Some(34), "{:?}", dating.date("behind"));
+    // The same where discovery tells its whole list each time: the one before did not name it.
+    let all = [("first", -50), ("ahead", 3620), ("behind", 40), ("later", 60)];
+    dating.told(58.0, true, &all[..3]);
+    dating.told(60.0, true, &all);
+    assert!(dating.date("later") >= Some(52), "{:?}", dating.date("later"));
+}
+
+#[test]
+fn a_start_that_a_lost_watch_kept_from_us_is_dated_in_that_time() {
+    let mut dating = Dating::new();
+    dating.told(1.0, true, &[("first", 0)]);
+    dating.told(10.0, false, &[("second", 10)]);
+    dating.host.news_failed();
+    dating.told(50.0, false, &[("third", 20)]);
+    assert_eq!(dating.date("third"), Some(20));
+}
--- a/crates/node/tests/inside/host.rs
+++ b/crates/node/tests/inside/host.rs
@@ -10,7 +10,7 @@
         tenants: Vec::new(),
         transport: Default::default(),
     };
-    Host::new(Rc::new(deployment), Rc::default(), 1, 0, Micros(0))
+    Host::new(Rc::new(deployment), Rc::default(), 1, Micros(0))
 }
 
 /// A part of a query with so many attempts, all of them out.
--- a/crates/node/tests/watch_bound.rs
+++ b/crates/node/tests/watch_bound.rs
@@ -85,7 +85,7 @@
         assert_eq!(config.deployment.settings.must_ask, !pushed);
         let counters = Rc::new(Counters::new(&config.deployment.classes));
         let deployment = Rc::new(config.deployment.clone());
-        let mut host = Host::new(deployment, counters, seed, 0, Micros(0));
+        let mut host = Host::new(deployment, counters, seed, Micros(0));
         host.news(Micros(0), &config.known, true);
         let transport = &config.transport;
         World {
