--- a/crates/faultshim/src/lib.rs
+++ b/crates/faultshim/src/lib.rs
@@ -10,15 +10,19 @@
 //! | `connect=EADDRNOTAVAIL/10/3000/500` | the same, but only from 3,000 ms after the load on, for 500 ms |
 //! | `realtime=-3600000/2000` | from 2,000 ms after the load on `CLOCK_REALTIME` is so many milliseconds off |
 //!
-//! Calls: `accept4`, `bind`, `connect`, `epoll_wait`, `recv`, `send`, `socket`, `writev`. Calls other than `socket`
-//! and `epoll_wait` fail only on TCP sockets. Each fault adds a line to the file that `FAULTSHIM_REPORT` names, so
+//! Calls: `accept4`, `bind`, `connect`, `epoll_wait`, `open`, `recv`, `send`, `socket`, `writev`. `open` fails only for
+//! files whose path ends in the value of `FAULTSHIM_FILES`; other calls than it, `socket` and `epoll_wait` fail only on
+//! TCP sockets. Each fault adds a line to the file that `FAULTSHIM_REPORT` names, so
 //! that a test can tell that it met any. An entry that is not understood ends the process.
 
 mod plan;
 mod real;
 
-use libc::{c_int, c_void, clockid_t, epoll_event, iovec, sockaddr, socklen_t, ssize_t, timespec};
+use libc::{
+    c_char, c_int, c_void, clockid_t, epoll_event, iovec, mode_t, sockaddr, socklen_t, ssize_t, timespec,
+};
 use plan::{Call, Fault, Plan};
+use std::ffi::CStr;
 use std::sync::OnceLock;
 
 static PLAN: OnceLock<Plan> = OnceLock::new();
@@ -113,6 +117,22 @@
     }
 }
 
+/// `open(2)`.
+///
+/// # Safety
+/// As of the C library's. The mode is passed on also where the caller gave none: it is ignored then.
+#[no_mangle]
+pub unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: mode_t) -> c_int {
+    // SAFETY: the caller promises a path that ends in a zero byte.
+    let concerned = plan().concerns_file(unsafe { CStr::from_ptr(path) });
+    let faulty = if concerned { fault(Call::Open, -1) } else { None };
+    match faulty {
+        Some(Fault::Error(error)) => fail(error),
+        // SAFETY: the caller's own arguments.
+        _ => unsafe { real::open64()(path, flags, mode) },
+    }
+}
+
 /// `recv(2)`.
 ///
 /// # Safety
--- a/crates/faultshim/src/plan.rs
+++ b/crates/faultshim/src/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::real;
 use libc::{c_int, timespec};
-use std::ffi::CString;
+use std::ffi::{CStr, CString};
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// A call that can be made to fail.
@@ -12,6 +12,7 @@
     Bind,
     Connect,
     EpollWait,
+    Open,
     Recv,
     Send,
     Socket,
@@ -19,11 +20,12 @@
 }
 
 /// Names of calls in a plan.
-const CALLS: [(&str, Call); 8] = [
+const CALLS: [(&str, Call); 9] = [
     ("accept4", Call::Accept),
     ("bind", Call::Bind),
     ("connect", Call::Connect),
     ("epoll_wait", Call::EpollWait),
+    ("open", Call::Open),
     ("recv", Call::Recv),
     ("send", Call::Send),
     ("socket", Call::Socket),
@@ -31,7 +33,7 @@
 ];
 
 /// Names of errors in a plan.
-const ERRORS: [(&str, c_int); 16] = [
+const ERRORS: [(&str, c_int); 17] = [
     ("EADDRINUSE", libc::EADDRINUSE),
     ("EADDRNOTAVAIL", libc::EADDRNOTAVAIL),
     ("EAGAIN", libc::EAGAIN),
@@ -39,6 +41,7 @@
     ("ECONNRESET", libc::ECONNRESET),
     ("EHOSTUNREACH", libc::EHOSTUNREACH),
     ("EINTR", libc::EINTR),
+    ("EIO", libc::EIO),
     ("EMFILE", libc::EMFILE),
     ("ENETDOWN", libc::ENETDOWN),
     ("ENETUNREACH", libc::ENETUNREACH),
@@ -53,7 +56,7 @@
 impl Call {
     /// Whether it is not about a socket that is there already.
     pub(crate) fn is_anywhere(self) -> bool {
-        matches!(self, Call::Socket | Call::EpollWait)
+        matches!(self, Call::Socket | Call::EpollWait | Call::Open)
     }
 }
 
@@ -88,6 +91,8 @@
     realtime: Option<(i64, i64)>,
     report: c_int,
     loaded_ms: i64,
+    /// What the paths of files that can't be opened end in; empty where all can.
+    files: Vec<u8>,
 }
 
 /// The monotonic clock in milliseconds.
@@ -115,6 +120,7 @@
                 std::process::abort();
             }
         }
+        plan.files = std::env::var("FAULTSHIM_FILES").unwrap_or_default().into_bytes();
         let path = std::env::var("FAULTSHIM_REPORT").ok().and_then(|path| CString::new(path).ok());
         if let Some(path) = path {
             let flags = libc::O_WRONLY | libc::O_CREAT | libc::O_APPEND | libc::O_CLOEXEC;
@@ -157,6 +163,11 @@
         self.rules.iter().any(|rule| rule.call == call)
     }
 
+    /// Whether a file is among those that calls may fail for.
+    pub(crate) fn concerns_file(&self, path: &CStr) -> bool {
+        !self.files.is_empty() && path.to_bytes().ends_with(&self.files)
+    }
+
     /// The fault that one more call meets.
     pub(crate) fn strikes(&self, call: Call) -> Option<Fault> {
         let now = monotonic_ms() - self.loaded_ms;
--- a/crates/faultshim/src/real.rs
+++ b/crates/faultshim/src/real.rs
@@ -1,6 +1,8 @@
 //! The C library's own calls, which this library stands in front of.
 
-use libc::{c_char, c_int, c_void, clockid_t, epoll_event, iovec, sockaddr, socklen_t, ssize_t, timespec};
+use libc::{
+    c_char, c_int, c_void, clockid_t, epoll_event, iovec, mode_t, sockaddr, socklen_t, ssize_t, timespec,
+};
 use std::sync::atomic::{AtomicPtr, Ordering};
 
 /// The next definition of a name; ends the process where there is none.
@@ -34,6 +36,7 @@
     bind: fn(c_int, *const sockaddr, socklen_t) -> c_int;
     connect: fn(c_int, *const sockaddr, socklen_t) -> c_int;
     socket: fn(c_int, c_int, c_int) -> c_int;
+    open64: fn(*const c_char, c_int, mode_t) -> c_int;
     recv: fn(c_int, *mut c_void, usize, c_int) -> ssize_t;
     send: fn(c_int, *const c_void, usize, c_int) -> ssize_t;
     writev: fn(c_int, *const iovec, c_int) -> ssize_t;
--- a/crates/faultshim/tests/common/mod.rs
+++ b/crates/faultshim/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A span in milliseconds.
 pub fn ms(span: u64) -> Duration {
@@ -84,19 +84,27 @@
     pub program: Program,
     /// Its faults.
     pub faults: Faults,
+    /// When it was about to be started.
+    pub begun: Instant,
 }
 
 impl Stage {
     /// With this plan and something changed in the configuration.
     pub fn with(plan: &str, change: impl FnOnce(&mut Value)) -> Stage {
+        Stage::under("true", plan, change)
+    }
+
+    /// The same from a shell in which this was done before.
+    pub fn under(first: &str, plan: &str, change: impl FnOnce(&mut Value)) -> Stage {
         let servers: Vec<Server> = (0..6).map(|_| Server::start(Doing::Serving)).collect();
         let lines = entries_at(servers.iter().map(|server| server.address));
         let discovery = Discovery::start(lines.clone());
         let mut config = config_json("127.0.0.1:0", &discovery.address.to_string(), &list(1, &lines));
         change(&mut config);
         let faults = Faults::planned(plan);
-        let program = Program::start_under(&faults.shell(), &node(), &config);
-        let stage = Stage { servers, discovery, program, faults };
+        let begun = Instant::now();
+        let program = Program::start_under(&format!("{first}; {}", faults.shell()), &node(), &config);
+        let stage = Stage { servers, discovery, program, faults, begun };
         eventually("ready", || {
             status(stage.program.address, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n") == 200
         });
--- a/crates/faultshim/tests/machine.rs
+++ b/crates/faultshim/tests/machine.rs
@@ -77,6 +77,26 @@
     }
 }
 
+#[test]
+fn a_configuration_that_cannot_be_opened_for_a_moment_is_read_all_the_same() {
+    for error in ["EMFILE", "ENFILE", "EIO", "ENOMEM"] {
+        // As it starts, and again from the second second on, when a new one is told.
+        let plan = format!("open={error}/1/0/400,open={error}/1/2000/600");
+        let stage = Stage::under("export FAULTSHIM_FILES=\"$RELAY_CONFIG\"", &plan, |_| {});
+        assert!(stage.faults.met() > 0, "{error}: no fault was met at the start");
+        let met = stage.faults.met();
+        eventually("files can't be opened", || {
+            let _ = status(stage.program.address, "GET /health/live HTTP/1.1\r\n\r\n");
+            stage.begun.elapsed() > ms(2100)
+        });
+        let text = std::fs::read_to_string(stage.program.file()).expect("the configuration");
+        stage.program.reload(Some(&text));
+        eventually("it is taken", || stage.program.count(&["configuration taken"]) == 1);
+        assert!(stage.faults.met() > met, "{error}: no fault was met at the reload");
+        assert_eq!(stage.program.count(&["configuration kept"]), 0, "{error}");
+    }
+}
+
 /// Holders of one shard, a front node whose wall clock is off, and discovery.
 struct ClockOff {
     servers: Vec<Stamping>,
