--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -6,7 +6,7 @@
 use pinetrestle_protocol::registry::{self, News};
 use pinetrestle_settings::fields::{count, field, maybe, text, Fault, Parsed};
 use pinetrestle_settings::{Deployment, Words};
-use pinetrestle_system_calls::is_local;
+use pinetrestle_system_calls::{is_disk_trouble, is_local};
 use serde_json::Value;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -328,15 +328,10 @@
         Ok((Config { recorder: next.recorder, ..Config::read(&file, &self.spoken)? }, vec!["settings"]))
     }
 
-    /// Reads the configuration that the environment names.
-    pub fn from_environment(spoken: &Spoken) -> Parsed<Config> {
-        Config::read(&Config::file_from_environment()?, spoken)
-    }
-
-    /// Whether the file can't be opened only because this machine lacks something for a moment, as descriptors.
+    /// Whether the file can't be read only because this machine lacks something for a moment, as descriptors.
     pub(crate) fn file_has_to_wait() -> bool {
-        let opened = std::env::var(FILE).ok().map(std::fs::File::open);
-        matches!(opened, Some(Err(error)) if is_local(&error))
+        let read = std::env::var(FILE).ok().map(std::fs::read);
+        matches!(read, Some(Err(error)) if is_local(&error) || is_disk_trouble(&error))
     }
 
     /// Reads the file that the environment names, completed by the environment.
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -11,8 +11,9 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, Instant};
 
-/// How long a file that can't be opened for a local reason is tried, and the wait between two tries.
-const FILE_WITHIN: Duration = Duration::from_secs(2);
+/// How long a new file that can't be read for a local reason is tried.
+const RELOAD_WITHIN: Duration = Duration::from_secs(2);
+/// The wait between two tries.
 const FILE_WAIT: Duration = Duration::from_millis(20);
 
 /// New configuration files, as they come: the content, or why there is none.
@@ -23,15 +24,20 @@
     signal(SignalKind::hangup())
 }
 
+/// Reads the file that the environment names; tried for so long while this machine can't read it for the moment.
+pub(crate) async fn read_file(within: Duration) -> Parsed<Value> {
+    let until = Instant::now() + within;
+    while Config::file_has_to_wait() && Instant::now() < until {
+        sleep(FILE_WAIT).await;
+    }
+    Config::file_from_environment()
+}
+
 /// Reads the file anew at each signal. Signals that come while one is handled count as one.
 pub(crate) async fn at_signals(mut hang_ups: Signal, files: mpsc::Sender<Parsed<Value>>) {
     while hang_ups.recv().await.is_some() {
         // The signal comes once: descriptors that have run out must not make it go unheard.
-        let until = Instant::now() + FILE_WITHIN;
-        while Config::file_has_to_wait() && Instant::now() < until {
-            sleep(FILE_WAIT).await;
-        }
-        if files.send(Config::file_from_environment()).await.is_err() {
+        if files.send(read_file(RELOAD_WITHIN).await).await.is_err() {
             return;
         }
     }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -11,7 +11,7 @@
 use crate::log::{logger, LAST_LINES};
 use crate::messages::Message;
 use crate::pulse::Pulse;
-use crate::reload::{at_signals, follow, hang_ups, Reloads};
+use crate::reload::{at_signals, follow, hang_ups, read_file, Reloads};
 use crate::shutdown::{Phase, StopSignals};
 use crate::upstream::{Instruments, Pools};
 use clap::Parser;
@@ -410,7 +410,8 @@
             return ExitCode::from(2);
         }
     };
-    let mut config = match Config::from_environment(&spoken) {
+    let file = read_file(START_WITHIN).await;
+    let mut config = match file.and_then(|file| Config::read(&file, &spoken)) {
         Ok(config) => config,
         Err(fault) => {
             eprintln!("pinetrestle-node: configuration: {fault}");
--- a/crates/system-calls/src/lib.rs
+++ b/crates/system-calls/src/lib.rs
@@ -41,6 +41,7 @@
         Errno::NFILE,
         Errno::NOBUFS,
         Errno::NOMEM,
+        Errno::NOSPC, // of epoll_ctl: no more watches for this user
     ];
     Errno::from_io_error(error).is_some_and(|errno| local.contains(&errno))
 }
