Soak: queries sent ahead, the time told to index servers, parts of clients that have gone

The two terms that the soak did not judge from outside so far (deadline passed on, nothing begun for a client that has gone) are judged by what index servers read and when, with 850 ms for a busy machine and stopped processes beside the terms' own slack. A tenth of the exchanges sends three queries at once; each owes its answer. Each connection's state is a type, not a tuple.

--- a/crates/faultshim/tests/soak.rs
+++ b/crates/faultshim/tests/soak.rs
@@ -4,8 +4,9 @@
 //! discoveries that fall silent, refuse or drip.
 //!
 //! Judged by the rules: each request gets one final answer in time, no part that may have run is sent again in a class
-//! where that does harm, nothing goes to an index server that drains, every process ends in order, the counters agree
-//! and the processes' own invariants (`violations`) stay at zero.
+//! where that does harm, nothing goes to an index server that drains, none is told more time than the client has left or
+//! gets a part whose client has gone, every process ends in order, the counters agree and the processes' own invariants
+//! (`violations`) stay at zero.
 //!
 //! `SOAK_SEEDS=20..40 SOAK_NODES=30 SOAK_SECONDS=20 cargo test -p pinetrestle-faultshim --test soak` plays more.
 
@@ -13,7 +14,8 @@
 
 use common::{ms, node, wall_ms, Faults};
 use pinetrestle_standins::{
-    config_json, entries, list, query, word, Ailing, Client, Discovery, Doing, Program, Server, Telling,
+    config_json, entries, list, query, word, Ailing, Answer, Client, Discovery, Doing, Program, Server,
+    Telling,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -29,6 +31,24 @@
 /// What the time of a query is.
 const EXPIRES_MS: u64 = 2000;
 
+/// By how much later than it was written a part may be read here: what a busy machine adds, and the spans for which
+/// processes are stopped.
+const READ_WITHIN: Duration = Duration::from_millis(850);
+/// What the deadline told to an index server may be over (standing terms).
+const TOLD_SLACK: Duration = Duration::from_millis(150);
+/// How long after its client has gone a part may still be begun (standing terms).
+const GONE_SLACK: Duration = Duration::from_millis(100);
+/// Queries that a client sends at once, ahead of their answers.
+const SENT_AHEAD: usize = 3;
+
+/// A query as its client knows it.
+struct Sent {
+    /// When it was about to be written.
+    at: Instant,
+    /// When its client had gone, if it did.
+    gone: Option<Instant>,
+}
+
 /// One place for a front node and the process that holds it now.
 struct Place {
     program: Program,
@@ -37,6 +57,16 @@
     killed: Arc<AtomicBool>,
 }
 
+/// A client's connection to the front node at a place.
+struct Connection {
+    place: usize,
+    client: Client,
+    /// Its front node was killed without a word.
+    killed: Arc<AtomicBool>,
+    /// A query was answered on it before.
+    rested: bool,
+}
+
 /// Everything on the stage.
 struct Soak {
     servers: Vec<Server>,
@@ -48,6 +78,8 @@
     /// What broke a rule, in words.
     broken: Mutex<Vec<String>>,
     faults_met: AtomicU64,
+    /// All queries, by their ids.
+    sent: Mutex<HashMap<String, Sent>>,
     /// Processes that were told to end, until they have.
     ending: Mutex<Vec<Place>>,
 }
@@ -107,50 +139,71 @@
         self.broken.lock().expect("no panic").push(what);
     }
 
+    /// A query, noted as sent now.
+    fn query(&self, class: &str) -> (String, String) {
+        let (id, text) = query(class, &[0, 1, 2], EXPIRES_MS);
+        if class == "all" {
+            UNSAFE.lock().expect("no panic").insert(id.clone());
+        }
+        self.sent.lock().expect("no panic").insert(id.clone(), Sent { at: Instant::now(), gone: None });
+        (id, text)
+    }
+
     /// Asks queries at one place after the other until it is over.
     fn ask(&self, mut random: StdRng) {
-        let mut resting: Option<(usize, Client, Arc<AtomicBool>)> = None;
+        let mut resting: Option<Connection> = None;
         while !self.over.load(Ordering::Relaxed) {
             thread::sleep(ms(random.random_range(0..30)));
-            let class = ["any", "all", "steps"][random.random_range(0..3)];
-            let (id, text) = query(class, &[0, 1, 2], EXPIRES_MS);
-            if class == "all" {
-                UNSAFE.lock().expect("no panic").insert(id.clone());
-            }
             let reused = resting.take().filter(|_| random.random_bool(0.7));
-            let was_resting = reused.is_some();
-            let Some((place, mut client, killed)) = reused.or_else(|| self.connect(&mut random)) else {
+            let Some(connection) = reused.or_else(|| self.connect(&mut random)) else {
                 continue;
             };
+            let class = ["any", "all", "steps"][random.random_range(0..3)];
             if random.random_bool(0.1) {
-                self.misbehave(client, &text, &mut random);
+                self.misbehave(connection, class, &mut random);
                 continue;
             }
+            let many = if random.random_bool(0.1) { SENT_AHEAD } else { 1 };
+            resting = self.exchange(connection, class, many);
+        }
+    }
+
+    /// Sends so many queries at once and reads their answers; the connection, if it still stands.
+    fn exchange(&self, mut connection: Connection, class: &str, many: usize) -> Option<Connection> {
+        let queries: Vec<(String, String)> = (0..many).map(|_| self.query(class)).collect();
+        let text: String = queries.iter().map(|(_, text)| text.as_str()).collect();
+        let begun = Instant::now();
+        let written = connection.client.try_write(text.as_bytes());
+        for (place, (id, _)) in queries.iter().enumerate() {
             self.asked.fetch_add(1, Ordering::Relaxed);
-            let begun = Instant::now();
-            let answer = if client.try_write(text.as_bytes()) { client.try_read() } else { None };
-            let took = begun.elapsed();
-            match answer {
-                Some(answer) => {
-                    *self.statuses.lock().expect("no panic").entry(answer.status).or_default() += 1;
-                    if took > ANSWERED_WITHIN {
-                        self.breaks(format!("{id} at place {place} was answered after {took:?}"));
-                    }
-                    if !matches!(answer.status, 200 | 503 | 500) {
-                        self.breaks(format!("{id} at place {place}: {} {}", answer.status, answer.body));
-                    }
-                    resting = Some((place, client, killed));
-                }
+            let answer = if written { connection.client.try_read() } else { None };
+            let Some(answer) = answer else {
                 // A resting connection may be ended in the moment in which a request comes: it was not read then.
-                None if was_resting || killed.load(Ordering::Relaxed) => {}
-                None => {
-                    self.breaks(format!("{id} at place {place}: no answer on a new connection ({took:?})"))
+                let was_resting = connection.rested && place == 0;
+                if !(was_resting || connection.killed.load(Ordering::Relaxed)) {
+                    let (at, took) = (connection.place, begun.elapsed());
+                    self.breaks(format!("{id} at place {at}, {place} sent ahead: no answer ({took:?})"));
                 }
-            }
+                return None;
+            };
+            self.take_answer(id, connection.place, begun.elapsed(), &answer);
         }
+        connection.rested = true;
+        Some(connection)
     }
 
-    fn connect(&self, random: &mut StdRng) -> Option<(usize, Client, Arc<AtomicBool>)> {
+    /// Counts an answer, and judges it.
+    fn take_answer(&self, id: &str, place: usize, took: Duration, answer: &Answer) {
+        *self.statuses.lock().expect("no panic").entry(answer.status).or_default() += 1;
+        if took > ANSWERED_WITHIN {
+            self.breaks(format!("{id} at place {place} was answered after {took:?}"));
+        }
+        if !matches!(answer.status, 200 | 503 | 500) {
+            self.breaks(format!("{id} at place {place}: {} {}", answer.status, answer.body));
+        }
+    }
+
+    fn connect(&self, random: &mut StdRng) -> Option<Connection> {
         let place = random.random_range(0..self.places.len());
         let (address, killed) = {
             let place = self.places[place].lock().expect("no panic");
@@ -158,13 +211,23 @@
         };
         let stream = std::net::TcpStream::connect_timeout(&address, ms(500)).ok()?;
         stream.set_read_timeout(Some(ms(8000))).ok()?;
-        Some((place, Client { stream: std::io::BufReader::new(stream) }, killed))
+        let client = Client { stream: std::io::BufReader::new(stream) };
+        Some(Connection { place, client, killed, rested: false })
     }
 
-    /// A client that leaves, sends half, rubbish, much at once, or nothing.
-    fn misbehave(&self, mut client: Client, text: &str, random: &mut StdRng) {
+    /// A client that leaves, sends half, rubbish, the same much at once, or nothing.
+    fn misbehave(&self, connection: Connection, class: &str, random: &mut StdRng) {
+        let mut client = connection.client;
+        let (id, text) = self.query(class);
         match random.random_range(0..5) {
-            0 => drop(client.try_write(text.as_bytes())),
+            0 => {
+                client.try_write(text.as_bytes());
+                thread::sleep(ms(random.random_range(0..20)));
+                drop(client);
+                if let Some(sent) = self.sent.lock().expect("no panic").get_mut(&id) {
+                    sent.gone = Some(Instant::now());
+                }
+            }
             1 => drop(client.try_write(&text.as_bytes()[..text.len() / 2])),
             2 => drop(client.try_write(b"\x16\x03\x01 rubbish \r\n\r\n")),
             3 => drop(client.try_write(text.repeat(5).as_bytes())),
@@ -301,12 +364,32 @@
         self.judge(&format!("{name}, ended"), &stats, &place.program);
     }
 
-    /// No part of the class whose effect must not come twice was read twice.
-    fn count_twice(&self) {
+    /// What index servers read: no part of the class whose effect must not come twice is there twice, none has more time
+    /// than its client has left, and none was begun after its client had gone.
+    fn judge_parts(&self) {
         let mut seen: HashMap<String, u64> = HashMap::new();
+        let sent = self.sent.lock().expect("no panic");
+        let mut left = 0;
         for part in self.servers.iter().flat_map(Server::seen) {
+            let query = part.id.split('.').next().and_then(|id| sent.get(id)).expect("a query that was sent");
+            let ends = query.at + ms(EXPIRES_MS) + TOLD_SLACK + READ_WITHIN;
+            if part.at + part.told() > ends {
+                let over = part.at + part.told() - ends;
+                self.breaks(format!("{} is told {:?}, {over:?} over what is left", part.id, part.told()));
+            }
+            if let Some(gone) = query.gone {
+                left += 1;
+                if part.at > gone + GONE_SLACK + READ_WITHIN {
+                    self.breaks(format!(
+                        "{} was read {:?} after its client had gone",
+                        part.id,
+                        part.at - gone
+                    ));
+                }
+            }
             *seen.entry(part.id).or_default() += 1;
         }
+        println!("{} parts read, {left} of clients that left", seen.values().sum::<u64>());
         let unsafe_ids = UNSAFE.lock().expect("no panic");
         for (id, times) in seen.iter().filter(|(_, times)| **times > 1) {
             if id.split('.').next().is_some_and(|query| unsafe_ids.contains(query)) {
@@ -332,6 +415,7 @@
         statuses: Mutex::default(),
         broken: Mutex::default(),
         faults_met: AtomicU64::new(0),
+        sent: Mutex::default(),
         ending: Mutex::default(),
     };
     let places: Vec<Place> = (0..nodes).map(|place| soak.begin(place, &mut random)).collect();
@@ -374,7 +458,7 @@
         }
         soak.faults_met.fetch_add(place.faults.met() as u64, Ordering::Relaxed);
     }
-    soak.count_twice();
+    soak.judge_parts();
     let (asked, met) = (soak.asked.load(Ordering::Relaxed), soak.faults_met.load(Ordering::Relaxed));
     let statuses = soak.statuses.lock().expect("no panic").clone();
     println!("seed {seed}: {nodes} front nodes, {asked} queries, {statuses:?}, {troubles} troubles, {met} faults of calls");
--- a/crates/node/tests/effects.rs
+++ b/crates/node/tests/effects.rs
@@ -2,7 +2,8 @@
 //! which a connection or an answer goes wrong, in each class of effect.
 
 use pinetrestle_standins::{
-    config_json, entries_at, eventually, list, query, Client, Discovery, Doing, Late, Program, Server,
+    config_json, entries_at, eventually, list, query, Client, Discovery, Doing, Late, PartSeen, Program,
+    Server,
 };
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -236,15 +237,9 @@
     let server = late.open(Doing::Serving);
     assert_eq!(client.read().status, 200);
     let seen = server.seen();
-    let told = told_ms(&seen[0].list);
-    assert!(waited + ms(told) <= ms(2900), "{told} ms told {waited:?} after the query came");
-    assert!(told > 0);
-}
-
-/// The milliseconds that the index server of a part is told.
-fn told_ms(list: &str) -> u64 {
-    let told = list.strip_prefix("d=").and_then(|list| list.split(',').next()).expect("a wait");
-    told.parse().expect("milliseconds")
+    let told = seen[0].told();
+    assert!(waited + told <= ms(2900), "{told:?} told {waited:?} after the query came");
+    assert!(told > ms(0));
 }
 
 #[test]
@@ -261,17 +256,17 @@
     let statuses: Vec<u16> = (0..4).map(|_| client.read().status).collect();
     // The second has waited for the first, the third for both; nothing is left of the time of the fourth.
     assert_eq!(statuses[..2], [200, 200]);
-    let told: Vec<u64> = server.seen().iter().map(|part| told_ms(&part.list)).collect();
+    let told: Vec<Duration> = server.seen().iter().map(PartSeen::told).collect();
     for (place, told) in told.iter().enumerate() {
-        let left = EXPIRES_MS.saturating_sub(TAKES_MS * place as u64);
-        assert!(*told <= left, "part {place} is told {told} ms where {left} are left: {statuses:?}");
+        let left = ms(EXPIRES_MS.saturating_sub(TAKES_MS * place as u64));
+        assert!(*told <= left, "part {place} is told {told:?} where {left:?} are left: {statuses:?}");
     }
     assert!(told.len() < 4, "a part is sent for which no time is left: {told:?}");
     // What has come since then is not taken for older than it is.
     thread::sleep(ms(100));
     assert_eq!(client.send(&query("all", &[0], EXPIRES_MS).1).status, 200);
-    let last = server.seen().last().map(|part| told_ms(&part.list));
-    assert!(last >= Some(EXPIRES_MS - 100), "{last:?}");
+    let last = server.seen().last().map(PartSeen::told);
+    assert!(last >= Some(ms(EXPIRES_MS - 100)), "{last:?}");
 }
 
 #[test]
--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, Weak};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What it does with a call.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,6 +59,19 @@
     pub list: String,
     /// The text it carries.
     pub text: String,
+    /// When it was read.
+    pub at: Instant,
+}
+
+impl PartSeen {
+    /// How long the front node says that it waits for it.
+    ///
+    /// # Panics
+    /// Where its list does not begin with that.
+    pub fn told(&self) -> Duration {
+        let told = self.list.strip_prefix("d=").and_then(|list| list.split(',').next()).expect("a wait");
+        Duration::from_millis(told.parse().expect("milliseconds"))
+    }
 }
 
 struct Acts {
@@ -110,6 +123,7 @@
 
 /// Reads a call's parts by hand, as the page has it.
 pub(crate) fn parts(mut rest: &[u8]) -> Vec<PartSeen> {
+    let at = Instant::now();
     let mut all = Vec::new();
     while !rest.is_empty() {
         let end = rest.iter().position(|byte| *byte == b'\n').expect("a line");
@@ -123,6 +137,7 @@
             shard: words[1].parse().expect("a shard"),
             list: words[2].into(),
             text: String::from_utf8(text.to_vec()).expect("text"),
+            at,
         });
         rest = &rest[end + 1 + length..];
     }
