Failing test: the indented list of the largest fleet is refused as too long

Found by going through the standing terms for bounds: lists may come indented, and fleets may have 3,200 index servers. Such a list has 732,857 bytes (two blanks a level, names of 25 letters); the bound is 524,288. Seen: Err(Http(BodyTooLong)): the watch is ended and asked for again without end, no list is ever taken, and what drains is never heard of.

--- a/crates/protocol/tests/watch.rs
+++ b/crates/protocol/tests/watch.rs
@@ -96,6 +96,35 @@
     }
 }
 
+#[test]
+fn the_list_of_the_largest_fleet_is_taken_indented_and_the_bound_still_holds() {
+    /// Index servers of the largest fleet (standing terms).
+    const MOST_SERVERS: usize = 3_200;
+    let entry: serde_json::Value = serde_json::from_str(ENTRY).expect("JSON");
+    let entries: Vec<serde_json::Value> = (0..MOST_SERVERS)
+        .map(|number| {
+            let mut entry = entry.clone();
+            entry["name"] = format!("query-fleet-pool-{number:08x}").into();
+            entry
+        })
+        .collect();
+    let list = serde_json::json!({"index": 7, "snapshot": true, "endpoints": entries});
+    let text = serde_json::to_string_pretty(&list).expect("JSON");
+    let ok = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    // As discovery writes it: in chunks, and read in pieces of 16 kB.
+    let whole = format!("{ok}{}{}", chunk(&text), chunk("\n"));
+    let pieces: Vec<Vec<u8>> = whole.as_bytes().chunks(16 * 1024).map(<[u8]>::to_vec).collect();
+    let (said, end) = read(&pieces);
+    assert_eq!(end, Ok(false), "{} bytes", text.len());
+    let [Said::News(news)] = &said[..] else { panic!("{} said", said.len()) };
+    assert_eq!(news.entries.len(), MOST_SERVERS);
+    // One that never ends is not taken for ever.
+    let endless =
+        vec![chunk(&format!("{{\"index\":7,\"endpoints\":[{}", " ".repeat(64 * 1024))).into_bytes(); 100];
+    let pieces: Vec<Vec<u8>> = std::iter::once(ok.as_bytes().to_vec()).chain(endless).collect();
+    assert_eq!(read(&pieces).1, Err(WatchError::Http(HttpError::BodyTooLong)));
+}
+
 #[test]
 fn a_list_is_said_with_its_last_brace_and_half_of_one_never() {
     let ok = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
