A list of discovery may have 4 MiB

Cause: MOST_LIST was set when lists came without blanks and fleets had a few hundred index servers. The standing terms have 3,200 and indented lists: 733 kB, over the 512 KiB at which a watch is ended.

--- a/crates/member/src/relay.rs
+++ b/crates/member/src/relay.rs
@@ -32,8 +32,8 @@
 const SILENCE: Duration = Duration::from_secs(3);
 /// Between two calls of discovery.
 const AGAIN: Duration = Duration::from_millis(300);
-/// Bytes of one line from discovery at most.
-const MOST_LINE: usize = 512 * 1024;
+/// Bytes of one line from discovery at most: as a front node takes of it.
+const MOST_LINE: usize = 4 * 1024 * 1024;
 /// Connections served at once at most.
 const MOST_WATCHES: usize = 16;
 
--- a/crates/protocol/src/watch.rs
+++ b/crates/protocol/src/watch.rs
@@ -8,8 +8,8 @@
 use std::fmt;
 use std::rc::Rc;
 
-/// Most bytes of one list of a watch, blanks and broken lines included: well over a thousand index servers.
-const MOST_LIST: usize = 512 * 1024;
+/// Most bytes of one list of a watch, blanks and broken lines included: 3,200 index servers with 1,300 bytes each.
+const MOST_LIST: usize = 4 * 1024 * 1024;
 
 /// What a watch says.
 #[derive(Clone, Debug, PartialEq)]
