The relay of a fleet's member reads discovery as the front node does

Cause: relay.rs split the answer at line ends and renewed its patience with every piece of the body. Change: it takes lists apart by crates/protocol's Objects, which the front node's watch uses, with the same bound; its time runs from the last whole list or empty line. A list that never ends is refused at 4 MiB as before. Looked at for the same: the member's status polls and rollout read whole bodies of bounded length.

--- a/crates/member/src/relay.rs
+++ b/crates/member/src/relay.rs
@@ -14,6 +14,7 @@
 use hyper::body::{Bytes, Frame, Incoming};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use pinetrestle_protocol::objects::{Objects, Piece, TooLong, MOST_LIST};
 use serde_json::{json, Value};
 use slog::{info, Logger};
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,6 +24,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio::time::{timeout_at, Instant};
 
 /// The path of the list.
 const PATH: &str = "/registry/instances";
@@ -32,8 +34,6 @@
 const SILENCE: Duration = Duration::from_secs(3);
 /// Between two calls of discovery.
 const AGAIN: Duration = Duration::from_millis(300);
-/// Bytes of one line from discovery at most: as a front node takes of it.
-const MOST_LINE: usize = 4 * 1024 * 1024;
 /// Connections served at once at most.
 const MOST_WATCHES: usize = 16;
 
@@ -273,31 +273,37 @@
     upstream: &watch::Sender<Option<Rc<Vec<Value>>>>,
     listed: &watch::Sender<Listed>,
 ) -> &'static str {
-    let mut text: Vec<u8> = Vec::new();
+    let mut lists = Objects::default();
+    // Only what was said whole is a sign of life: bytes that drip, or half a list, tell nothing.
+    let mut until = Instant::now() + SILENCE;
     loop {
-        let frame = match tokio::time::timeout(SILENCE, body.frame()).await {
+        let frame = match timeout_at(until, body.frame()).await {
             Err(_) => return "silent",
             Ok(None) => return "ended_by_peer",
             Ok(Some(Err(_))) => return "reset",
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(data) = frame.into_data() else { continue };
-        text.extend_from_slice(&data);
-        while let Some(end) = text.iter().position(|b| *b == b'\n') {
-            let one: Vec<u8> = text.drain(..=end).collect();
-            if one.trim_ascii().is_empty() {
-                continue;
-            }
-            if !take(&one, list) {
+        lists.feed(&data);
+        loop {
+            let text = match lists.next(MOST_LIST) {
+                Err(TooLong) => return "line_too_long",
+                Ok(None) => break,
+                Ok(Some(piece)) => {
+                    until = Instant::now() + SILENCE;
+                    match piece {
+                        Piece::Blank => continue,
+                        Piece::Text(text) => text,
+                    }
+                }
+            };
+            if !take(&text, list) {
                 return "bad_list";
             }
             upstream.send_replace(Some(Rc::new(list.values().cloned().collect())));
             listed
                 .send_replace(Some(list.iter().map(|(name, entry)| (name.clone(), shown(entry))).collect()));
         }
-        if text.len() > MOST_LINE {
-            return "line_too_long";
-        }
     }
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod head;
 pub mod link;
 pub mod names;
-mod objects;
+pub mod objects;
 pub mod query;
 pub mod registry;
 pub mod requests;
--- a/crates/protocol/src/objects.rs
+++ b/crates/protocol/src/objects.rs
@@ -1,8 +1,11 @@
 //! One JSON object after the other out of a text, however its lines are broken, and the empty lines between them.
 
+/// Most bytes of one list of a watch, blanks and broken lines included: 3,200 index servers with 1,300 bytes each.
+pub const MOST_LIST: usize = 4 * 1024 * 1024;
+
 /// What stands next in the text.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) enum Piece {
+pub enum Piece {
     /// An empty line.
     Blank,
     /// An object as it stands there, or a line that is none.
@@ -11,11 +14,11 @@
 
 /// More bytes than a piece may have.
 #[derive(Debug)]
-pub(crate) struct TooLong;
+pub struct TooLong;
 
 /// A text that is taken apart as it comes.
 #[derive(Debug, Default)]
-pub(crate) struct Objects {
+pub struct Objects {
     /// What is not taken yet; new bytes are appended.
     pub(crate) text: Vec<u8>,
     /// Bytes of it that were looked at.
@@ -33,8 +36,16 @@
 }
 
 impl Objects {
+    /// Takes bytes as they come.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.text.extend_from_slice(bytes);
+    }
+
     /// The next piece, if it is there.
-    pub(crate) fn next(&mut self, most: usize) -> Result<Option<Piece>, TooLong> {
+    ///
+    /// # Errors
+    /// Where it has more than `most` bytes.
+    pub fn next(&mut self, most: usize) -> Result<Option<Piece>, TooLong> {
         while let Some(byte) = self.text.get(self.seen).copied() {
             self.seen += 1;
             if self.seen > most {
--- a/crates/protocol/src/watch.rs
+++ b/crates/protocol/src/watch.rs
@@ -3,14 +3,11 @@
 use crate::chunks::Chunks;
 use crate::head::{Framing, Head, HttpError};
 use crate::names::Names;
-use crate::objects::{Objects, Piece, TooLong};
+use crate::objects::{Objects, Piece, TooLong, MOST_LIST};
 use crate::registry::{parse, BadList, News};
 use std::fmt;
 use std::rc::Rc;
 
-/// Most bytes of one list of a watch, blanks and broken lines included: 3,200 index servers with 1,300 bytes each.
-const MOST_LIST: usize = 4 * 1024 * 1024;
-
 /// What a watch says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Said {
@@ -106,12 +103,12 @@
             Some(Body::Length(left)) => {
                 let some = bytes.len().min(*left);
                 *left -= some;
-                self.lists.text.extend_from_slice(&bytes[..some]);
+                self.lists.feed(&bytes[..some]);
                 if *left == 0 && some > 0 && self.lists.text.last() != Some(&b'\n') {
                     self.lists.text.push(b'\n'); // a body of stated length may end its last line without saying so
                 }
             }
-            Some(Body::UntilEnd) | None => self.lists.text.extend_from_slice(bytes),
+            Some(Body::UntilEnd) | None => self.lists.feed(bytes),
         }
         Ok(())
     }
