--- a/crates/faultshim/tests/machine.rs
+++ b/crates/faultshim/tests/machine.rs
@@ -97,6 +97,15 @@
     }
 }
 
+#[test]
+fn a_configuration_that_cannot_be_opened_now_and_then_is_read_all_the_same() {
+    for seed in 0..8 {
+        let plan = format!("seed={seed},open=EMFILE/2/0/400");
+        let stage = Stage::under("export FAULTSHIM_FILES=\"$RELAY_CONFIG\"", &plan, |_| {});
+        assert_eq!(count(&ask(stage.program.address, "any", &[0, 1, 2], 1), 200), 1, "{plan}");
+    }
+}
+
 /// Holders of one shard, a front node whose wall clock is off, and discovery.
 struct ClockOff {
     servers: Vec<Stamping>,
