The configuration is read in one step, so that what was tried is what is read

Cause: read_file opened the file to see whether it has to wait, and Config::file_from_environment opened it again; so did the reload since. One read now, repeated while it fails for a moment's reason. Looked at for the same (a check apart from the use): listen, connect and accept act on the call's own error.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -6,7 +6,6 @@
 use pinetrestle_protocol::registry::{self, News};
 use pinetrestle_settings::fields::{count, field, maybe, text, Fault, Parsed};
 use pinetrestle_settings::{Deployment, Words};
-use pinetrestle_system_calls::{is_disk_trouble, is_local};
 use serde_json::Value;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -328,17 +327,20 @@
         Ok((Config { recorder: next.recorder, ..Config::read(&file, &self.spoken)? }, vec!["settings"]))
     }
 
-    /// Whether the file can't be read only because this machine lacks something for a moment, as descriptors.
-    pub(crate) fn file_has_to_wait() -> bool {
-        let read = std::env::var(FILE).ok().map(std::fs::read);
-        matches!(read, Some(Err(error)) if is_local(&error) || is_disk_trouble(&error))
+    /// The path of the file that the environment names.
+    pub(crate) fn path_from_environment() -> Parsed<String> {
+        std::env::var(FILE).map_err(|_| Fault::new(FILE, "is not set"))
     }
 
     /// Reads the file that the environment names, completed by the environment.
     pub fn file_from_environment() -> Parsed<Value> {
-        let path = std::env::var(FILE).map_err(|_| Fault::new(FILE, "is not set"))?;
-        let bytes = std::fs::read(&path)
-            .map_err(|error| Fault::new(FILE, format!("can't be read: {path}: {error}")))?;
+        let path = Config::path_from_environment()?;
+        Config::file_of(&path, std::fs::read(&path))
+    }
+
+    /// What was read of the file of this path, completed by the environment.
+    pub(crate) fn file_of(path: &str, read: std::io::Result<Vec<u8>>) -> Parsed<Value> {
+        let bytes = read.map_err(|error| Fault::new(FILE, format!("can't be read: {path}: {error}")))?;
         let mut file: Value = serde_json::from_slice(&bytes)
             .map_err(|error| Fault::new(FILE, format!("is not JSON: {path}: {error}")))?;
         if let Some(object) = file.as_object_mut() {
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -3,6 +3,7 @@
 use crate::config::{Config, Live};
 use crate::counters::Counters;
 use pinetrestle_settings::fields::Parsed;
+use pinetrestle_system_calls::{is_disk_trouble, is_local};
 use serde_json::Value;
 use slog::{info, warn, Logger};
 use std::rc::Rc;
@@ -26,11 +27,16 @@
 
 /// Reads the file that the environment names; tried for so long while this machine can't read it for the moment.
 pub(crate) async fn read_file(within: Duration) -> Parsed<Value> {
+    let path = Config::path_from_environment()?;
     let until = Instant::now() + within;
-    while Config::file_has_to_wait() && Instant::now() < until {
-        sleep(FILE_WAIT).await;
+    loop {
+        match std::fs::read(&path) {
+            Err(error) if (is_local(&error) || is_disk_trouble(&error)) && Instant::now() < until => {
+                sleep(FILE_WAIT).await;
+            }
+            read => return Config::file_of(&path, read),
+        }
     }
-    Config::file_from_environment()
 }
 
 /// Reads the file anew at each signal. Signals that come while one is handled count as one.
