A connection at rest makes room for one that is needed

Cause: Pools::conn refused a connection once server_connections were open, whether they were in use or not; the attempt ended as the replica's failure to connect, counted against it, and used up the share of further attempts, so that queries waited out their time. Connections at rest stay for up to 12 s, and with more replicas than places each part wants a new one. Ruled out: ConnectFailed turned into Moot, which would only send the same part to the same replica again.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -30,6 +30,8 @@
 const MOST_READS: usize = 4;
 /// Bytes of one read.
 const READ: usize = 16 * 1024;
+/// Connections that make room for others and have not ended yet, at most: they hold descriptors beside those that count.
+const MOST_LEAVING: usize = 16;
 
 /// Microseconds by which a part may be begun late before that counts as a defect: the process may stand still between
 /// the last look at its clock and the write.
@@ -52,6 +54,10 @@
     shut: Cell<bool>,
     /// It was left because nothing was heard on it.
     silent: Cell<bool>,
+    /// It was ended while it rested, for a new connection; it is not among those that are counted as open any more.
+    makes_room: Cell<bool>,
+    /// When it last got a call.
+    last_call: Cell<Instant>,
     calls: Cell<u64>,
     parts: Cell<u64>,
 }
@@ -85,6 +91,8 @@
     start: Instant,
     /// What frames are made of.
     letters: Rc<Letters>,
+    /// Connections that make room and have not ended yet.
+    leaving: Rc<Cell<usize>>,
     next: u64,
 }
 
@@ -114,6 +122,7 @@
             may_cancel,
             start,
             letters,
+            leaving: Rc::default(),
             next: 0,
         }
     }
@@ -130,6 +139,7 @@
         };
         self.counters.connections.calls.one();
         conn.calls.set(conn.calls.get() + 1);
+        conn.last_call.set(Instant::now());
         conn.parts.set(conn.parts.get() + parts.len() as u64);
         for part in &parts {
             self.carriers.insert(part.ticket, conn.clone());
@@ -166,7 +176,8 @@
             return Some(conn.clone());
         }
         let address: std::net::SocketAddr = peer.address.parse().ok()?;
-        if self.counters.connections.servers_open.get() >= config.transport.server_connections as u64 {
+        let full = self.counters.connections.servers_open.get() >= config.transport.server_connections as u64;
+        if full && !self.make_room() {
             return None;
         }
         self.next += 1;
@@ -178,10 +189,12 @@
             bell: Notify::new(),
             shut: Cell::new(false),
             silent: Cell::new(false),
+            makes_room: Cell::new(false),
+            last_call: Cell::new(Instant::now()),
             calls: Cell::new(0),
             parts: Cell::new(0),
         });
-        pool.push(conn.clone());
+        self.by_replica.entry(replica).or_default().push(conn.clone());
         self.counters.connections.servers_begun.one();
         self.counters.connections.servers_open.one();
         let driver = Driver {
@@ -193,6 +206,7 @@
             recorder: self.recorder.clone(),
             invariants: self.invariants.clone(),
             scratch: self.scratch.clone(),
+            leaving: self.leaving.clone(),
             start: self.start,
         };
         self.recorder.note(|| Record::of(Step::Connecting, 0).on(self.next).with(replica as u64));
@@ -200,6 +214,28 @@
         Some(conn)
     }
 
+    /// Ends the connection that has rested longest since its last call, where any rests: its place is free at once. False
+    /// where none does, or too many that make room have not ended yet.
+    fn make_room(&self) -> bool {
+        if self.leaving.get() >= MOST_LEAVING {
+            return false;
+        }
+        let rests = |conn: &&Rc<Conn>| {
+            let link = conn.link.borrow();
+            !conn.shut.get() && link.open() == 0 && link.waiting() == 0
+        };
+        let all = self.by_replica.values().flatten();
+        let Some(conn) = all.filter(rests).min_by_key(|conn| (conn.last_call.get(), conn.number)) else {
+            return false;
+        };
+        conn.shut.set(true);
+        conn.makes_room.set(true);
+        conn.bell.notify_one();
+        self.leaving.set(self.leaving.get() + 1);
+        self.counters.connections.servers_open.less();
+        true
+    }
+
     /// An attempt is given up.
     pub fn give_up(&mut self, ticket: Ticket) {
         if let Some(conn) = self.carriers.remove(&ticket) {
@@ -280,6 +316,8 @@
     invariants: Rc<Invariants>,
     /// Where every connection reads to: a connection that rests holds no buffer of its own.
     scratch: Rc<RefCell<Vec<u8>>>,
+    /// Connections that make room and have not ended yet.
+    leaving: Rc<Cell<usize>>,
     start: Instant,
 }
 
@@ -297,7 +335,11 @@
         };
         self.conn.shut.set(true);
         let counts = &self.counters.connections;
-        counts.servers_open.less();
+        if self.conn.makes_room.get() {
+            self.leaving.set(self.leaving.get() - 1);
+        } else {
+            counts.servers_open.less();
+        }
         counts.servers_failed.more(u64::from(reason.never_up()));
         let late = self.conn.link.borrow().late;
         let out = self.conn.link.borrow().open();
@@ -355,7 +397,11 @@
             }
             let idle = link.borrow().open() == 0 && link.borrow().waiting() == 0;
             if idle && self.conn.shut.get() {
-                return if self.conn.silent.get() { Reason::Unheard } else { Reason::Replaced };
+                return match (self.conn.silent.get(), self.conn.makes_room.get()) {
+                    (true, _) => Reason::Unheard,
+                    (false, true) => Reason::MadeRoom,
+                    (false, false) => Reason::Replaced,
+                };
             }
             let next_write = link.borrow().next_write();
             let writes = next_write.is_some_and(|at| at <= micros_since(self.start));
