--- a/src/logic.rs
+++ b/src/logic.rs
@@ -298,6 +298,9 @@
 
     /// A replica's pace, which drifts back to 1 while nothing is heard of it.
     fn pace(&self, replica: &Replica) -> f64 {
+        if replica.pace == 1.0 {
+            return 1.0; // as nearly all are: no power to be taken
+        }
         1.0 + (replica.pace - 1.0) * fade(self.now - replica.pace_at, PACE_HALF.max(self.gap))
     }
 
@@ -325,7 +328,7 @@
         let mut since: Vec<Micros> = owing.into_values().collect();
         since.sort_unstable();
         let longer_than_usual = |from: &Micros| self.now - *from > usual.times(HUSH);
-        let half = self.replicas.keys().filter(|id| on(id)).count() / 2;
+        let half = self.replicas.values().filter(|r| r.lifecycle == Lifecycle::On).count() / 2;
         let from = since.get(half).map(|since| self.heard.max(*since));
         if let Some(from) = from.filter(longer_than_usual) {
             self.hush = (from, self.now);
@@ -389,7 +392,7 @@
         let size: f64 = self.replicas.values().filter(|r| r.lifecycle == Lifecycle::On).map(|r| r.size).sum();
         self.usual = self.served.per_second(now, HALF_LIFE) / size.max(EPS);
         let on = self.replicas.iter().filter(|(_, replica)| replica.lifecycle == Lifecycle::On);
-        let mut paces: BTreeMap<_, _> = on.map(|(id, replica)| (*id, self.pace(replica))).collect();
+        let mut paces: Vec<(ReplicaId, f64)> = on.map(|(id, replica)| (*id, self.pace(replica))).collect();
         // One that has left is forgotten once nothing of it counts: parts out, failures, a cold start.
         self.replicas.retain(|_, replica| {
             replica.ghosts.retain(|until| *until > now);
@@ -400,16 +403,21 @@
         self.gap = SECOND.times(paces.len() as f64 / calls).min(HALF_LIFE);
         for flight in self.flights.values().filter(|flight| !flight.cancelled) {
             let silence = self.lasted(flight.sent.max(self.replicas[&flight.replica].last_ok));
-            let pace = paces.get_mut(&flight.replica).filter(|_| silence > self.overdue_after(flight.slot));
-            if let Some(pace) = pace {
-                *pace = pace.max(silence.over(self.typical(flight.slot)).min(PACE_CAP));
+            let place = paces.binary_search_by_key(&flight.replica, |(id, _)| *id).ok();
+            if let Some(place) = place.filter(|_| silence > self.overdue_after(flight.slot)) {
+                let pace = silence.over(self.typical(flight.slot)).min(PACE_CAP);
+                paces[place].1 = paces[place].1.max(pace);
             }
         }
-        let mut middle: Vec<f64> = paces.values().copied().collect();
-        middle.sort_by(f64::total_cmp);
-        let median = middle.get(middle.len() / 2).copied().unwrap_or(1.0).max(1.0);
-        for (id, pace) in paces {
-            let Some(replica) = self.replicas.get_mut(&id) else { continue };
+        let mut middle: Vec<f64> = paces.iter().map(|(_, pace)| *pace).collect();
+        let half = middle.len() / 2;
+        let median = match middle.len() {
+            0 => 1.0,
+            _ => middle.select_nth_unstable_by(half, f64::total_cmp).1.max(1.0),
+        };
+        // Both in the order of ids, and of those in service none was forgotten.
+        let on = self.replicas.iter_mut().filter(|(_, replica)| replica.lifecycle == Lifecycle::On);
+        for ((id, replica), (_, pace)) in on.zip(paces) {
             let ratio = pace / median;
             replica.factor = if ratio < SLOW_FROM { 1.0 } else { ratio };
             if replica.condemned != (ratio >= if replica.condemned { SLOW_FROM } else { CONDEMNED }) {
@@ -646,8 +654,12 @@
 
     /// The best replica for a part among those the gate lets through, its load, and a draw for ties.
     fn choose(&self, query: &Query, part: &Part) -> Option<(ReplicaId, f64, f64)> {
+        if !self.may_try(query, part) {
+            return None;
+        }
         let mut best: Option<((bool, f64, f64), ReplicaId)> = None;
-        for (id, replica) in self.holders(part.shard).filter(|(id, _)| self.may_send(query, part, **id)) {
+        let may_take = |(id, replica): &(&ReplicaId, &Replica)| self.may_take(query, part, **id, replica);
+        for (id, replica) in self.holders(part.shard).filter(may_take) {
             let tried = part.attempts.iter().any(|attempt| attempt.replica == *id);
             // Ties fall at random: a hash of the seed, the part and the replica, fixed for the attempt.
             let tie = mix(self.rng.0 ^ (u64::from(part.id) << 32) ^ u64::from(*id));
@@ -664,30 +676,43 @@
 
     /// Every send passes here: attempt cap, drain, cold budget, retry budget, effect class, second copies.
     fn may_send(&self, query: &Query, part: &Part, id: ReplicaId) -> bool {
-        let Some(replica) = self.replicas.get(&id) else { return false };
+        let replica = self.replicas.get(&id);
+        replica.is_some_and(|replica| self.may_try(query, part) && self.may_take(query, part, id, replica))
+    }
+
+    /// Whether a part may get one more attempt, wherever that goes.
+    fn may_try(&self, query: &Query, part: &Part) -> bool {
         let class = &self.set.classes[query.class];
         let tried = part.attempts.len();
         let slot = query.class * 2 + usize::from(query.step - 1);
-        let usable = replica.lifecycle == Lifecycle::On && self.within_cold_budget(replica, slot);
-        if !usable || part.done || tried as u32 >= self.set.limits.attempts {
+        if part.done || tried as u32 >= self.set.limits.attempts {
             return false;
         }
         if tried == 0 {
             return true;
         }
-        let since = self.now - self.typical(query.class * 2);
         let repeatable = match class.effect {
             Effect::Safe => true,
             Effect::Keyed => self.window_left(class, part, slot).is_none_or(|left| left > Micros(0)),
             Effect::Unsafe => !part.attempts.iter().any(|a| a.open || !a.never_ran),
         };
-        let here = part.attempts.iter().any(|a| a.replica == id && (a.open || a.sent > since));
         let most = COPY_FLOOR + COPY_SHARE * self.sent.read(self.now, HALF_LIFE);
         let storm = self.copies.read(self.now, HALF_LIFE) + 1.0 > most;
-        let doubled = here || part.attempts.iter().any(|a| a.open) && !self.set.limits.may_duplicate;
+        let doubled = part.attempts.iter().any(|a| a.open) && !self.set.limits.may_duplicate;
         repeatable && !storm && !doubled && self.within_retry_budget()
     }
 
+    /// Whether a replica may get an attempt of a part: in service, within what a cold one stands, and without
+    /// one of it that is out or was sent just now.
+    fn may_take(&self, query: &Query, part: &Part, id: ReplicaId, replica: &Replica) -> bool {
+        let slot = query.class * 2 + usize::from(query.step - 1);
+        let here = || {
+            let since = self.now - self.typical(query.class * 2);
+            part.attempts.iter().any(|a| a.replica == id && (a.open || a.sent > since))
+        };
+        replica.lifecycle == Lifecycle::On && self.within_cold_budget(replica, slot) && !here()
+    }
+
     /// How long a repeat is still dropped, where it may be one: counted from the send of the first attempt
     /// that may have run, less what the repeat may wait at the replica before it runs itself.
     fn window_left(&self, class: &Class, part: &Part, slot: usize) -> Option<Micros> {
