--- a/crates/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -556,7 +556,8 @@
 
 #[test]
 fn where_no_connection_is_left_the_attempt_never_ran() {
-    let stage = Stage::with(&Doing::Serving, |config| config["transport"] = json!({"server_connections": 1}));
+    // The one that there is has a part out all the while.
+    let stage = Stage::with(&Doing::Silent, |config| config["transport"] = json!({"server_connections": 1}));
     let mut client = stage.client();
     let answer = client.send(&query("all", &[0, 1], 600).1);
     assert_eq!(answer.status, 503, "two cells need two connections: {answer:?}");
@@ -566,6 +567,25 @@
     assert_eq!(stats["connections"]["servers_begun"], 1);
 }
 
+#[test]
+fn a_connection_at_rest_makes_room_for_one_that_is_needed() {
+    let stage = Stage::with(&Doing::Serving, |config| config["transport"] = json!({"server_connections": 1}));
+    let mut client = stage.client();
+    // Two cells need a connection each, one after the other.
+    for _ in 0..3 {
+        for shard in [0, 1] {
+            assert_eq!(client.send(&query("all", &[shard], 600).1).status, 200);
+        }
+    }
+    let stats = stage.balanced();
+    assert_eq!(stats["connections"]["servers_none_left"], 0);
+    assert_eq!(stats["connections"]["servers_begun"], 6);
+    assert_eq!(stats["connections"]["servers_open"], 1);
+    let made_room =
+        || stage.program.reasons("index_server").iter().filter(|reason| *reason == "made_room").count();
+    eventually("five have ended for it", || made_room() == 5);
+}
+
 #[test]
 fn a_late_answer_is_dropped_and_counted() {
     let stage = Stage::new(&Doing::ServingAfter(Duration::from_millis(900)));
