--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -20,16 +20,16 @@
     let case = case();
     let record = Record::open(&case.folder);
     let (trouble, spoils) = (case.trouble, record.clone());
-    let answer = move |part: &Part, mut frame: Vec<u8>| {
+    let answer = move |_: &str, part: &Part, mut frame: Vec<u8>| {
         if !trouble || random() % SPOILT != 0 {
-            return (frame, true);
+            return (frame, Afterwards::GoOn);
         }
         let missing = 1 + (random() % 8) as u32;
         let length = u32::from_be_bytes(frame[..4].try_into().unwrap());
         frame[..4].copy_from_slice(&(length - missing).to_be_bytes());
         spoils.line(format!("spoilt answer to {}: length {} instead of {length}", part.id, length - missing));
         // The connection is of no more use but stays open.
-        (frame, false)
+        (frame, Afterwards::Silence)
     };
     let servers = start_servers(&record, Duration::from_millis(20), Arc::new(answer));
     let list = endpoint_list(&servers);
@@ -85,7 +85,11 @@
     if !node.runs() {
         record.say("the front node has ended");
     }
-    verdict(&record, wrong, &format!("{wrong} of {sent} requests were served a value that no index server made"))
+    verdict(
+        &record,
+        wrong,
+        &format!("{wrong} of {sent} requests were served a value that no index server made"),
+    )
 }
 
 /// Returns the shard and the value of each item of an answer's body.
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -49,7 +49,9 @@
             let took = ended.took.as_millis();
             let answer = match &ended.result {
                 Ok(answer) => format!("answer {}", answer.status),
-                Err(NoAnswer::Ended) => "connection ended without an answer (excused: shut unread)".to_owned(),
+                Err(NoAnswer::Ended) => {
+                    "connection ended without an answer (excused: shut unread)".to_owned()
+                }
                 Err(NoAnswer::Silence) => "LOST, no final answer half a second after its time".to_owned(),
             };
             record.line(format!("client {} after {took} ms: {answer}", query.id));
@@ -68,7 +70,8 @@
     }
     let (sent, lost, shut) = *totals.lock().unwrap();
     let crashed = usize::from(!node.runs());
-    let what = format!("{lost} of {sent} requests of usual clients lost, {shut} shut unread, {crashed} crashed");
+    let what =
+        format!("{lost} of {sent} requests of usual clients lost, {shut} shut unread, {crashed} crashed");
     verdict(&record, lost + crashed, &what)
 }
 
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -70,9 +70,20 @@
     pub shard: u32,
 }
 
-/// Returns the bytes that an index server sends for a part, given its sound answer frame, and whether it goes
-/// on using the connection.
-pub type Answer = dyn Fn(&Part, Vec<u8>) -> (Vec<u8>, bool) + Send + Sync;
+/// What an index server does on a connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Afterwards {
+    /// Goes on as usual.
+    GoOn,
+    /// Keeps the connection open and sends nothing more.
+    Silence,
+    /// Sends the same bytes again and again, for this long or until the connection ends.
+    RepeatFor(Duration),
+}
+
+/// Returns the bytes that an index server sends for a part, given its own name and its sound answer frame, and
+/// what it does afterwards.
+pub type Answer = dyn Fn(&str, &Part, Vec<u8>) -> (Vec<u8>, Afterwards) + Send + Sync;
 
 /// An index server of one cell. It works `work` on each part, any number at a time, and then answers.
 pub struct Server {
@@ -81,8 +92,8 @@
     pub address: SocketAddr,
 }
 
-pub fn sound(_: &Part, frame: Vec<u8>) -> (Vec<u8>, bool) {
-    (frame, true)
+pub fn sound(_: &str, _: &Part, frame: Vec<u8>) -> (Vec<u8>, Afterwards) {
+    (frame, Afterwards::GoOn)
 }
 
 pub fn start_servers(record: &Arc<Record>, work: Duration, answer: Arc<Answer>) -> Vec<Server> {
@@ -140,14 +151,23 @@
                 let content = format!("5{} S 1 -\n{}", part.id, made_value(&part.id));
                 let mut bytes = (content.len() as u32).to_be_bytes().to_vec();
                 bytes.extend_from_slice(content.as_bytes());
-                let (bytes, goes_on) = answer(&part, bytes);
+                let (bytes, afterwards) = answer(&name, &part, bytes);
                 let mut writer = writer.lock().unwrap();
                 let Some(stream) = writer.as_mut() else { return };
                 let sent = stream.write_all(&bytes).is_ok();
                 record.line(format!("{name} ran {} answer_written={sent}", part.id));
-                if !goes_on {
-                    // The connection stays open and brings nothing more.
-                    std::mem::forget(writer.take());
+                match afterwards {
+                    Afterwards::GoOn => {}
+                    Afterwards::Silence => std::mem::forget(writer.take()),
+                    Afterwards::RepeatFor(time) => {
+                        let (began, copies) = (Instant::now(), bytes.repeat(200));
+                        let mut sent = 0;
+                        while began.elapsed() < time && stream.write_all(&copies).is_ok() {
+                            sent += copies.len();
+                        }
+                        let took = began.elapsed().as_millis();
+                        record.line(format!("{name} sent {sent} bytes of further copies in {took} ms"));
+                    }
                 }
             });
         }
@@ -229,7 +249,8 @@
     effect: &str,
 ) -> Option<Node> {
     let deploy = fs::read_to_string(root.join("deploy/balancer.toml")).ok()?;
-    let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")).and_then(|r| r.split('"').next())?;
+    let run =
+        deploy.lines().find_map(|line| line.strip_prefix("run = \"")).and_then(|r| r.split('"').next())?;
     let folder = std::env::temp_dir().join(format!("review-{}-{:x}", std::process::id(), random()));
     fs::create_dir_all(folder.join("tmp")).ok()?;
     // A port that was free a moment ago.
@@ -358,7 +379,8 @@
             match self.stream.read(&mut buffer) {
                 Ok(0) => return Err(NoAnswer::Ended),
                 Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-                Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return Err(NoAnswer::Ended),
             }
