--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -233,6 +233,17 @@
 }
 
 impl Node {
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// The memory of the process in kB, without the pages of files; `None` once it has ended.
+    pub fn memory_kb(pid: u32) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
     /// Whether the process still runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
