--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,4 +9,7 @@
   echo "run review/build.sh first" >&2
   exit 2
 fi
-exec "$program" "$folder" "$root"
+"$program" "$folder" "$root"
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
