Review: run.sh ends the front node and removes the temporary folder on any exit

Cause: a stand-in killed from outside left its front node and folder behind. Change: one temporary folder a play, with the front node's id in it; run.sh ends that process by its id.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,7 +9,22 @@
   echo "run review/build.sh first" >&2
   exit 2
 fi
-"$program" "$folder" "$root"
+# Everything temporary is in one folder; the program notes there the id of the front node that it starts.
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+end() {
+  [ -z "$child" ] || kill -KILL "$child" 2>/dev/null
+  [ ! -f "$TMPDIR/node.pid" ] || kill -KILL "$(cat "$TMPDIR/node.pid")" 2>/dev/null
+  rm -rf "$TMPDIR"
+}
+child=
+trap end EXIT
+trap 'exit 2' INT TERM HUP
+"$program" "$folder" "$root" &
+child=$!
+wait "$child"
 code=$?
+# Ended and waited for: its id may belong to another process by now.
+child=
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -228,6 +228,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = fs::remove_file(std::env::temp_dir().join("node.pid"));
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
@@ -288,6 +289,8 @@
         .spawn()
         .ok()?;
     let node = Node { child, address, folder };
+    // For run.sh, should this program be ended first.
+    let _ = fs::write(std::env::temp_dir().join("node.pid"), node.pid().to_string());
     let end = Instant::now() + Duration::from_secs(30);
     while Instant::now() < end {
         let ready = Client::connect(address).ok().and_then(|mut client| {
