A peer that sends without a pause no longer stops the front node for all others

Cause: a task that reads a socket never let the others run while bytes kept coming: readable() of a ready socket returns at once and try_read is not counted by tokio's budget. Beside it, the parser removed empty lines one by one, moving the buffer for each, without a limit on them.

Fix: TaskBudget, spent by each read and each buffered request of clients, index servers and discovery; empty lines count toward the limit of the head; late answers are limited by the parts sent, chunk extensions by the data beside them. forced_yields in /stats and the log tells a busy task from a blocked one.

--- a/crates/member/tests/one_member.rs
+++ b/crates/member/tests/one_member.rs
@@ -1,12 +1,14 @@
 //! A fleet of one member under faults of its machine: a full disk, and an address that is in use. The member
 //! starts or recovers without a restart once the fault is over. While its disk is full, it rejects requests.
+//! Also a peer that sends frames without a pause.
 
 mod common;
 
 use common::reserve_ports;
 use pinetrestle_member::client;
-use pinetrestle_member::wire::{Request, Response};
-use std::net::SocketAddr;
+use pinetrestle_member::wire::{self, Hello, Request, Response};
+use std::io::{ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -128,3 +130,47 @@
     remove_file_size_limit(&member);
     wait_until!("it leads", member, is_leader(addr).await);
 }
+
+/// Writes small frames of a peer without a pause until the connection ends or `end`.
+fn flood_with_peer_frames(addr: SocketAddr, end: Instant) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(addr)?;
+    stream.set_write_timeout(Some(Duration::from_millis(100)))?;
+    let hello = wire::encode(&Hello::Peer(2));
+    stream.write_all(&(hello.len() as u32).to_be_bytes())?;
+    stream.write_all(&hello)?;
+    // Frames of one byte, which is no Raft message.
+    let frames = [0, 0, 0, 1, 0xff].repeat(16 * 1024);
+    let mut position = 0;
+    while Instant::now() < end {
+        match stream.write(&frames[position..]) {
+            Ok(count) => position = (position + count) % frames.len(),
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a peer whose frames are read without an end, so that the member serves nobody else.
+#[tokio::test]
+async fn member_responds_while_a_peer_sends_frames_without_a_pause() {
+    let dir = tempfile::tempdir().expect("can create a temporary directory");
+    let held = reserve_ports(28_000 + u64::from(std::process::id()) % 1000, 1);
+    let addr = held[0].1;
+    drop(held);
+    let mut member = start(dir.path(), addr, "");
+    wait_until!("it leads", member, is_leader(addr).await);
+    let end = Instant::now() + Duration::from_secs(3);
+    let floods: Vec<_> =
+        (0..4).map(|_| std::thread::spawn(move || flood_with_peer_frames(addr, end))).collect();
+    while Instant::now() < end {
+        let asked_at = Instant::now();
+        let response = request_status(addr).await;
+        let took = asked_at.elapsed();
+        assert!(matches!(response, Some(Response::Status(status)) if status.leader == 1), "{took:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for flood in floods {
+        let _ = flood.join().expect("the flood ends");
+    }
+}
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -204,6 +204,7 @@
         services.counters.closes.increment("client", reason.code());
         info!(services.log, "connection ended"; "side" => "client", "peer" => %peer,
             "age_ms" => self.accepted_at.elapsed().as_millis() as u64, "requests" => self.requests_read,
-            "in" => self.socket.bytes_in, "out" => self.socket.bytes_out, "reason" => %reason);
+            "in" => self.socket.bytes_in, "out" => self.socket.bytes_out,
+            "forced_yields" => self.socket.forced_yields(), "reason" => %reason);
     }
 }
--- a/crates/node/src/clients/request_reader.rs
+++ b/crates/node/src/clients/request_reader.rs
@@ -83,7 +83,11 @@
         let transport = &config.transport;
         // If bytes of a pipelined request are already buffered, its timeout runs from the previous response,
         // which was written just now.
-        let mut request_began_at = (!self.socket.requests.is_empty()).then(Instant::now);
+        let is_pipelined = !self.socket.requests.is_empty();
+        let mut request_began_at = is_pipelined.then(Instant::now);
+        if is_pipelined {
+            self.socket.begin_pipelined_request().await;
+        }
         let wait = RequestWait {
             began_at: Instant::now(),
             accepted_at: self.accepted_at,
--- a/crates/node/src/clients/socket.rs
+++ b/crates/node/src/clients/socket.rs
@@ -7,7 +7,7 @@
 use crate::close_reason::CloseReason;
 use crate::deadline::before_deadline;
 use pinetrestle_protocol::requests::{response_head, RequestParser};
-use pinetrestle_system_calls::{is_out_of_buffers, retry_interrupted, BUFFER_RETRY_DELAY};
+use pinetrestle_system_calls::{is_out_of_buffers, retry_interrupted, TaskBudget, BUFFER_RETRY_DELAY};
 use std::io::{self, ErrorKind, IoSlice};
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +29,8 @@
     /// Parses the bytes read into requests.
     pub(super) requests: RequestParser,
     receive_times: ReceiveTimes,
+    /// Keeps a client that sends without a pause from occupying the thread.
+    budget: TaskBudget,
     /// Number of bytes read.
     pub(super) bytes_in: u64,
     /// Number of bytes written.
@@ -46,6 +48,7 @@
             stream,
             requests: RequestParser::default(),
             receive_times: ReceiveTimes::default(),
+            budget: TaskBudget::default(),
             bytes_in: 0,
             bytes_out: 0,
         }
@@ -68,20 +71,43 @@
     /// The reason to close the connection, if the client has closed it or reading fails.
     pub(super) async fn read(&mut self) -> Result<(), CloseReason> {
         loop {
-            if self.stream.readable().await.is_err() {
+            if self.readable().await.is_err() {
                 return Err(CloseReason::IoError);
             }
             match self.try_read() {
                 Ok(0) if self.requests.is_empty() => return Err(CloseReason::ClientClosed),
                 Ok(0) => return Err(CloseReason::ClientDisconnected),
                 Ok(_) => return Ok(()),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.budget.replenish(),
                 Err(error) if is_out_of_buffers(&error) => sleep(BUFFER_RETRY_DELAY).await,
                 Err(_) => return Err(CloseReason::Reset),
             }
         }
     }
 
+    /// Waits until bytes can be read, and lets the other tasks run first if this one has used up its budget.
+    async fn readable(&self) -> io::Result<()> {
+        let has_yielded = self.budget.readable(&self.stream).await?;
+        self.count_yield(has_yielded);
+        Ok(())
+    }
+
+    /// Lets the other tasks run if this one has used up its budget, before a request is processed that was
+    /// buffered already and so is not waited for.
+    pub(super) async fn begin_pipelined_request(&self) {
+        let has_yielded = self.budget.spend().await;
+        self.count_yield(has_yielded);
+    }
+
+    fn count_yield(&self, has_yielded: bool) {
+        self.context.services.counters.connections.forced_yields.add(u64::from(has_yielded));
+    }
+
+    /// Returns how often the task of this connection has used up its budget.
+    pub(super) fn forced_yields(&self) -> u64 {
+        self.budget.yields()
+    }
+
     /// Reads the available bytes into the request parser and returns their number. 0 means that the client
     /// has closed its side of the connection.
     fn try_read(&mut self) -> io::Result<usize> {
@@ -195,14 +221,14 @@
     async fn discard_input(&self) {
         let mut remaining = MAX_DISCARDED_BYTES;
         while remaining > 0 {
-            if self.stream.readable().await.is_err() {
+            if self.readable().await.is_err() {
                 return;
             }
             let read = retry_interrupted(|| self.stream.try_read(&mut self.context.read_buffer.borrow_mut()));
             match read {
                 Ok(0) => return,
                 Ok(count) => remaining = remaining.saturating_sub(count),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.budget.replenish(),
                 Err(error) if is_out_of_buffers(&error) => sleep(BUFFER_RETRY_DELAY).await,
                 Err(_) => return,
             }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -150,6 +150,9 @@
         server_bytes_in => "server_bytes_in",
         /// Bytes written to index servers.
         server_bytes_out => "server_bytes_out",
+        /// Times that the task of a connection had processed so much from its peer in a row that it let the
+        /// other tasks run.
+        forced_yields => "forced_yields",
     }
 }
 
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -14,7 +14,7 @@
 use pinetrestle_protocol::endpoint_list::{encode_watch_request, ListUpdate};
 use pinetrestle_protocol::watch::{WatchDecoder, WatchEvent};
 use pinetrestle_protocol::watch_supervisor::{WatchAction, WatchSupervisor, WatchTimeouts};
-use pinetrestle_system_calls::{connect, is_transient_local_error, read, write_all};
+use pinetrestle_system_calls::{connect, is_transient_local_error, read, write_all, TaskBudget};
 use slog::{info, Logger};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -241,9 +241,10 @@
         let mut last_event_at = started_at;
         let mut decoder = WatchDecoder::new(self.live_config.get().names.wire.clone());
         let mut buffer = vec![0; READ_SIZE];
+        let budget = TaskBudget::default();
         loop {
             let deadline = last_event_at + self.event_timeout();
-            let count = match before_deadline(deadline, read(stream, &mut buffer)).await {
+            let count = match before_deadline(deadline, read(stream, &mut buffer, &budget)).await {
                 None if self.events > 0 => return CloseReason::WatchSilent,
                 None => return CloseReason::NoResponse,
                 Some(Err(_)) => return CloseReason::Reset,
--- a/crates/node/src/upstream/driver.rs
+++ b/crates/node/src/upstream/driver.rs
@@ -181,7 +181,8 @@
             "peer" => %self.address, "name" => &connection.endpoint.name,
             "age_ms" => started_at.elapsed().as_millis() as u64, "calls" => connection.calls.get(),
             "parts" => connection.parts.get(), "lost" => in_flight, "late" => late,
-            "in" => transfer.bytes_in(), "out" => transfer.bytes_out(), "reason" => %reason);
+            "in" => transfer.bytes_in(), "out" => transfer.bytes_out(),
+            "forced_yields" => transfer.forced_yields(), "reason" => %reason);
         let record = || {
             Record::for_query(EventKind::ConnectionClosed, 0)
                 .on_connection(connection.number)
--- a/crates/node/src/upstream/transfer.rs
+++ b/crates/node/src/upstream/transfer.rs
@@ -8,7 +8,7 @@
 use pinetrestle_protocol::connection::{ReceivedAnswer, WriteEvent};
 use pinetrestle_protocol::frames::PartOutcome;
 use pinetrestle_recorder::{EventKind, Record};
-use pinetrestle_system_calls::{is_out_of_buffers, retry_interrupted, BUFFER_RETRY_DELAY};
+use pinetrestle_system_calls::{is_out_of_buffers, retry_interrupted, TaskBudget, BUFFER_RETRY_DELAY};
 use std::io::{self, ErrorKind, IoSlice};
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,7 +17,7 @@
 
 /// Maximum number of slices in one vectored write.
 const MAX_SLICES: usize = 64;
-/// Maximum number of consecutive reads from one connection, so that other tasks can run.
+/// Maximum number of consecutive reads from one connection before pending frames are written.
 const MAX_READS: usize = 4;
 /// Delay in microseconds by which the write of a part may start late without counting as a violation. The
 /// process may be paused between reading the clock and writing.
@@ -36,6 +36,8 @@
     shared: Rc<Shared>,
     bytes_in: u64,
     bytes_out: u64,
+    /// Keeps an index server that sends without a pause from occupying the thread.
+    budget: TaskBudget,
     /// Time at which bytes were last read or written, or at which the connection was established.
     last_activity: Instant,
     /// Time at which the first byte of the partially received frame was read, if there is one.
@@ -45,7 +47,15 @@
 impl Transfer {
     /// Creates the state of a connection on which nothing has been read or written.
     pub(super) fn new(connection: Rc<Connection>, shared: Rc<Shared>, now: Instant) -> Transfer {
-        Transfer { connection, shared, bytes_in: 0, bytes_out: 0, last_activity: now, frame_started_at: None }
+        Transfer {
+            connection,
+            shared,
+            bytes_in: 0,
+            bytes_out: 0,
+            budget: TaskBudget::default(),
+            last_activity: now,
+            frame_started_at: None,
+        }
     }
 
     /// Starts the idle time of the connection, which was established at `now`.
@@ -63,6 +73,11 @@
         self.bytes_out
     }
 
+    /// Returns how often the task of this connection has used up its budget.
+    pub(super) fn forced_yields(&self) -> u64 {
+        self.budget.yields()
+    }
+
     /// Returns the time since bytes were last read or written.
     pub(super) fn idle_time(&self) -> Duration {
         self.last_activity.elapsed()
@@ -84,6 +99,8 @@
     /// reason if the connection has to be closed.
     pub(super) async fn read_available(&mut self, stream: &TcpStream) -> Option<CloseReason> {
         for _ in 0..MAX_READS {
+            let has_yielded = self.budget.spend().await;
+            self.shared.instruments.counters.connections.forced_yields.add(u64::from(has_yielded));
             let read = retry_interrupted(|| stream.try_read(&mut self.shared.read_buffer.borrow_mut()));
             match read {
                 Ok(0) => return Some(self.peer_close_reason()),
@@ -92,7 +109,10 @@
                         return Some(reason);
                     }
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return None,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.budget.replenish();
+                    return None;
+                }
                 Err(error) if is_out_of_buffers(&error) => {
                     sleep(BUFFER_RETRY_DELAY).await;
                     return None;
--- a/crates/protocol/src/chunks.rs
+++ b/crates/protocol/src/chunks.rs
@@ -11,6 +11,9 @@
 const MAX_LINE_BYTES: usize = 256;
 /// Maximum number of trailer lines after the last chunk.
 const MAX_TRAILER_LINES: usize = 16;
+/// Maximum number of bytes by which the chunk extensions may exceed the chunk data that follows them.
+/// Otherwise a peer could send without an end and without ever completing a body or a line.
+const MAX_EXCESS_EXTENSION_BYTES: usize = 16 * 1024;
 /// Maximum number of hexadecimal digits in a chunk size.
 const MAX_SIZE_DIGITS: usize = 8;
 
@@ -37,6 +40,8 @@
     /// Received bytes of the current line.
     line: Vec<u8>,
     trailer_lines: usize,
+    /// Number of bytes by which the chunk extensions exceed the chunk data so far.
+    excess_extension_bytes: usize,
 }
 
 impl ChunkedDecoder {
@@ -110,7 +115,7 @@
             return Err(HttpError::BadChunkedCoding);
         }
         self.state = match self.state {
-            State::Size => match parse_chunk_size(&self.line)? {
+            State::Size => match self.parse_chunk_size()? {
                 0 => State::Trailer,
                 size => State::Data(size),
             },
@@ -129,11 +134,23 @@
         self.line.clear();
         Ok(())
     }
+
+    /// Parses the current line as a chunk-size line. The chunk extensions after a semicolon are ignored, but
+    /// their size is limited.
+    fn parse_chunk_size(&mut self) -> Result<usize, HttpError> {
+        let digits = self.line.split(|byte| *byte == b';').next().unwrap_or_default();
+        let size = parse_hexadecimal(digits)?;
+        let extension_bytes = self.line.len() - digits.len();
+        self.excess_extension_bytes = (self.excess_extension_bytes + extension_bytes).saturating_sub(size);
+        if self.excess_extension_bytes > MAX_EXCESS_EXTENSION_BYTES {
+            return Err(HttpError::BadChunkedCoding);
+        }
+        Ok(size)
+    }
 }
 
-/// Parses a chunk-size line and ignores the chunk extensions after a semicolon.
-fn parse_chunk_size(line: &[u8]) -> Result<usize, HttpError> {
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+/// Parses the digits of a chunk size.
+fn parse_hexadecimal(digits: &[u8]) -> Result<usize, HttpError> {
     let is_valid = !digits.is_empty()
         && digits.len() <= MAX_SIZE_DIGITS
         && digits.iter().all(|byte| byte.is_ascii_hexdigit());
--- a/crates/protocol/src/connection/mod.rs
+++ b/crates/protocol/src/connection/mod.rs
@@ -27,6 +27,9 @@
 const MAX_CANCELLED_IDS: usize = 4096;
 /// Maximum number of answered part ids kept to recognize duplicate answers.
 const MAX_ANSWERED_IDS: usize = 256;
+/// Maximum number of late answers per part, counted over the whole connection. A cancelled part may be
+/// answered, and any answer may have a duplicate.
+const MAX_LATE_ANSWERS_PER_PART: u64 = 2;
 
 /// The answer to an attempt in flight.
 #[derive(Clone, Debug, PartialEq)]
@@ -101,6 +104,8 @@
     has_evicted_cancelled_id: bool,
     /// Number of parts cancelled since bytes were last received.
     cancels_without_reply: u32,
+    /// Number of parts queued on this connection.
+    queued_parts: u64,
     /// Number of answers received after their attempt had ended.
     pub late_answers: u64,
 }
@@ -129,6 +134,7 @@
     pub fn queue_call(&mut self, now_us: u64, parts: Vec<OutgoingPart>) -> Vec<AttemptId> {
         let (accepted, refused): (Vec<_>, Vec<_>) =
             parts.into_iter().partition(|part| self.is_id_available(&part.id));
+        self.queued_parts += accepted.len() as u64;
         for part in &accepted {
             self.attempts.insert(part.id.clone(), part.attempt_id);
             self.part_ids.insert(part.attempt_id, part.id.clone());
@@ -257,6 +263,9 @@
                 return Err(FrameError::UnknownPart);
             }
             self.late_answers += 1;
+            if self.late_answers > self.queued_parts * MAX_LATE_ANSWERS_PER_PART {
+                return Err(FrameError::TooManyAnswers);
+            }
             return Ok(None);
         };
         if self.write_queue.has_incomplete_write(attempt_id) {
--- a/crates/protocol/src/frames.rs
+++ b/crates/protocol/src/frames.rs
@@ -50,6 +50,9 @@
     /// The answer belongs to a part that was not sent on this connection.
     #[error("answer to a part that was not sent on this connection")]
     UnknownPart,
+    /// More late or duplicate answers were received than the parts sent on this connection can have.
+    #[error("more late answers than the parts sent on this connection can have")]
+    TooManyAnswers,
     /// The index server could not process a frame that it received.
     #[error("index server rejected a frame")]
     FrameRejected,
@@ -63,6 +66,7 @@
         FrameError::MalformedAnswerLine,
         FrameError::InvalidAnswerValue,
         FrameError::UnknownPart,
+        FrameError::TooManyAnswers,
         FrameError::FrameRejected,
     ];
 
@@ -74,6 +78,7 @@
             FrameError::MalformedAnswerLine => "bad_frame_line",
             FrameError::InvalidAnswerValue => "bad_frame_value",
             FrameError::UnknownPart => "unknown_part",
+            FrameError::TooManyAnswers => "too_many_answers",
             FrameError::FrameRejected => "frame_rejected",
         }
     }
--- a/crates/protocol/src/requests.rs
+++ b/crates/protocol/src/requests.rs
@@ -9,6 +9,9 @@
 /// Capacity in bytes to which the receive buffer is shrunk between requests.
 const IDLE_BUFFER_BYTES: usize = 4096;
 
+/// A line without content.
+const EMPTY_LINE: &[u8] = b"\r\n";
+
 /// How much of the current request has been received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestProgress {
@@ -73,6 +76,8 @@
 /// Incremental parser for the requests of one connection. It parses pipelined requests one after the other.
 #[derive(Debug, Default)]
 pub struct RequestParser {
+    /// Number of bytes of empty lines that were dropped before the current request.
+    empty_line_bytes: usize,
     /// Received bytes, beginning with the current request. Bytes of a chunked body are removed as they are
     /// decoded.
     buffer: Vec<u8>,
@@ -116,7 +121,7 @@
             return Ok(RequestProgress::Complete);
         }
         if self.head.is_none() {
-            self.skip_empty_lines();
+            self.skip_empty_lines()?;
             if self.buffer.is_empty() {
                 return Ok(RequestProgress::Idle);
             }
@@ -134,12 +139,19 @@
         Ok(RequestProgress::Complete)
     }
 
-    /// Drops empty lines before a request line (RFC 9112 section 2.2).
-    fn skip_empty_lines(&mut self) {
-        while self.buffer.starts_with(b"\r\n") {
-            self.buffer.drain(..2);
+    /// Drops empty lines before a request line (RFC 9112 section 2.2). They count toward the maximum size of
+    /// the head.
+    fn skip_empty_lines(&mut self) -> Result<(), HttpError> {
+        let lines = self.buffer.chunks_exact(EMPTY_LINE.len()).take_while(|line| *line == EMPTY_LINE).count();
+        if lines > 0 {
+            self.buffer.drain(..lines * EMPTY_LINE.len());
             self.scanned = 0;
+            self.empty_line_bytes += lines * EMPTY_LINE.len();
+        }
+        if self.empty_line_bytes > MAX_HEAD_BYTES {
+            return Err(HttpError::HeadTooLong);
         }
+        Ok(())
     }
 
     /// Prepares to read the body described by the head (RFC 9112 section 6).
@@ -202,6 +214,7 @@
             self.chunked = None;
             self.decoded_body = Vec::new();
             self.scanned = 0;
+            self.empty_line_bytes = 0;
             self.buffer.shrink_to(IDLE_BUFFER_BYTES);
         }
     }
--- a/crates/protocol/tests/connection.rs
+++ b/crates/protocol/tests/connection.rs
@@ -494,3 +494,20 @@
     other.queue_call(230_500, unsent.into_iter().flatten().collect());
     assert_eq!(times_left(&write(&mut other, usize::MAX)), [10], "whole milliseconds, rounded up");
 }
+
+/// Guards against an index server that repeats an answer without an end: a duplicate of each answer is dropped,
+/// but many of them end the connection.
+#[test]
+fn more_late_answers_than_the_sent_parts_can_have_are_an_error() {
+    let mut connection = open_connection(&["q.0", "q.1"]);
+    let duplicate = frame(b'5', "q.0 S 1 -\nvalue");
+    connection.feed(&duplicate);
+    assert!(connection.next_answer(|_| {}).expect("a valid frame").is_some());
+    for late in 1..=4 {
+        connection.feed(&duplicate);
+        assert_eq!(connection.next_answer(|_| {}), Ok(None));
+        assert_eq!(connection.late_answers, late);
+    }
+    connection.feed(&duplicate);
+    assert_eq!(connection.next_answer(|_| {}), Err(FrameError::TooManyAnswers));
+}
--- a/crates/protocol/tests/requests.rs
+++ b/crates/protocol/tests/requests.rs
@@ -220,3 +220,40 @@
         assert_eq!(request.field("X-Other"), Ok(None));
     }
 }
+
+/// Guards against a client that keeps a connection busy with empty lines: they are limited as the head is.
+#[test]
+fn empty_lines_before_a_request_count_toward_the_limit_of_the_head() {
+    let mut parser = RequestParser::default();
+    for _ in 0..2 {
+        parser.feed(&b"\r\n".repeat(MAX_HEAD_BYTES / 2));
+        assert_eq!(parser.parse(), Ok(RequestProgress::Idle));
+        // A request in between starts the count again.
+        parser.feed(b"GET / HTTP/1.1\r\n\r\n");
+        assert_eq!(parser.parse(), Ok(RequestProgress::Complete));
+        parser.finish_request();
+    }
+    parser.feed(&b"\r\n".repeat(MAX_HEAD_BYTES / 2));
+    assert_eq!(parser.parse(), Ok(RequestProgress::Idle));
+    parser.feed(b"\r\n");
+    assert_eq!(parser.parse(), Err(HttpError::HeadTooLong));
+}
+
+/// Guards against a peer that sends chunk extensions without an end: they may not exceed the data by much.
+#[test]
+fn chunk_extensions_are_limited_beside_the_data() {
+    let mut parser = RequestParser::default();
+    parser.feed(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let extension = "x".repeat(200);
+    // The data pays for the extension.
+    for _ in 0..200 {
+        parser.feed(format!("c8;{extension}\r\n{}\r\n", "a".repeat(200)).as_bytes());
+        assert_eq!(parser.parse(), Ok(RequestProgress::Partial));
+    }
+    let chunks = (0..100).take_while(|_| {
+        parser.feed(format!("1;{extension}\r\na\r\n").as_bytes());
+        parser.parse().is_ok()
+    });
+    assert_eq!(chunks.count(), 80);
+    assert_eq!(parser.parse(), Err(HttpError::BadChunkedCoding));
+}
--- a/crates/standins/src/server_behavior.rs
+++ b/crates/standins/src/server_behavior.rs
@@ -48,6 +48,8 @@
     ClosingAfterBytes(usize),
     /// Sends an answer byte by byte and doesn't complete it.
     Trickling,
+    /// Sends every answer again and again without a pause, until the connection ends.
+    RepeatingAnswer,
 }
 
 /// What a server does on a connection in response to a call.
@@ -70,6 +72,8 @@
     },
     /// Begin an answer and send it byte by byte without completing it.
     Trickle,
+    /// Send again and again without a pause.
+    Repeat(Vec<u8>),
 }
 
 impl ServerBehavior {
@@ -100,6 +104,7 @@
                 Action::Send([answers(parts), vec![0xff; GARBAGE_BYTES]].concat())
             }
             ServerBehavior::Trickling => Action::Trickle,
+            ServerBehavior::RepeatingAnswer => Action::Repeat(answers(parts)),
             ServerBehavior::SendingInvalidFrame => Action::Send(b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec()),
             ServerBehavior::AnsweringUnknownPart => Action::Send(frame(ANSWER_FRAME, b"nobody.1 S 1 -\nv")),
         }
--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -13,6 +13,9 @@
 /// Pause between two bytes of an answer under [`ServerBehavior::Trickling`].
 const TRICKLE_PAUSE: Duration = Duration::from_millis(20);
 
+/// Number of copies in one write under [`ServerBehavior::RepeatingAnswer`].
+const COPIES_PER_WRITE: usize = 200;
+
 /// State shared by all connections of an index server.
 struct State {
     behavior: ServerBehavior,
@@ -165,6 +168,7 @@
                 None
             }
             Action::Trickle => self.trickle(),
+            Action::Repeat(bytes) => self.repeat(&bytes),
         }
     }
 
@@ -197,4 +201,13 @@
             thread::sleep(TRICKLE_PAUSE);
         }
     }
+
+    /// Sends the bytes again and again until the front node closes the connection.
+    fn repeat(&self, bytes: &[u8]) -> Option<()> {
+        let copies = bytes.repeat(COPIES_PER_WRITE);
+        let mut writer = self.writer.lock().expect("lock not poisoned");
+        loop {
+            writer.write_all(&copies).ok()?;
+        }
+    }
 }
--- a/crates/system-calls/src/lib.rs
+++ b/crates/system-calls/src/lib.rs
@@ -1,4 +1,5 @@
-//! Classifies the errors of system calls and retries calls that fail temporarily.
+//! Classifies the errors of system calls, retries calls that fail temporarily, and limits how many calls in a
+//! row a task makes for one peer ([`TaskBudget`]).
 //!
 //! An error of a socket call belongs to one of three kinds:
 //!
@@ -15,9 +16,11 @@
 mod errors;
 mod retry;
 mod sockets;
+mod task_budget;
 
 pub use errors::{
     is_accept_resource_error, is_out_of_buffers, is_transient_disk_error, is_transient_local_error,
 };
 pub use retry::{retry_interrupted, retry_transient_errors};
 pub use sockets::{connect, listen, read, write_all, BUFFER_RETRY_DELAY, STARTUP_TIMEOUT};
+pub use task_budget::TaskBudget;
--- a/crates/system-calls/src/sockets.rs
+++ b/crates/system-calls/src/sockets.rs
@@ -2,6 +2,7 @@
 
 use crate::errors::is_out_of_buffers;
 use crate::retry::{retry_interrupted, retry_transient_errors};
+use crate::task_budget::TaskBudget;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -36,15 +37,15 @@
 }
 
 /// Reads bytes into `buffer` and returns how many were read, or 0 at the end of the stream. Retries if the
-/// call is interrupted or this machine lacks buffers.
+/// call is interrupted or this machine lacks buffers. Each read spends from `budget`.
 ///
 /// # Errors
 /// The errors of `recv(2)`, except those that are retried.
-pub async fn read(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
+pub async fn read(stream: &TcpStream, buffer: &mut [u8], budget: &TaskBudget) -> io::Result<usize> {
     loop {
-        stream.readable().await?;
+        budget.readable(stream).await?;
         match retry_interrupted(|| stream.try_read(buffer)) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => budget.replenish(),
             Err(error) if is_out_of_buffers(&error) => sleep(BUFFER_RETRY_DELAY).await,
             result => return result,
         }
