An answer whose frame length is too small is no longer served with its value cut

Cause: the decoder handed an answer on as soon as its stated length had come, and looked at the bytes after it only in its next call; each read was processed before the next one. The rest of the value ended the connection, but too late.

Evidence: each wrong value in the record has its spoilt length, to the byte; no other value was wrong.

Fix: before an answer is returned, the bytes that follow it are classified. Text that reaches to the end of what has come or to the next frame, and can't begin a frame, means that the length is too small: nothing is served and the connection ends with a reason of its own, short_frame_length. A frame's length contains zero bytes, text never does. Noise that is no text leaves a good answer good, as before. All available bytes are read before answers are handed on.

--- a/crates/node/src/upstream/transfer.rs
+++ b/crates/node/src/upstream/transfer.rs
@@ -30,6 +30,16 @@
 const REJECTED: u8 = 2;
 const LATE: u8 = 3;
 
+/// How a series of reads ended.
+enum ReadEnd {
+    /// The connection is open. All available bytes have been read, or the maximum number of reads was made.
+    Open,
+    /// The peer has closed its side of the connection.
+    PeerClosed,
+    /// A read failed.
+    Failed(CloseReason),
+}
+
 /// Reads and writes the frames of one connection, and keeps its byte counts and the times of its traffic.
 pub(super) struct Transfer {
     connection: Rc<Connection>,
@@ -98,29 +108,45 @@
     /// Reads the available bytes with at most [`MAX_READS`] reads and processes them. Returns the close
     /// reason if the connection has to be closed.
     pub(super) async fn read_available(&mut self, stream: &TcpStream) -> Option<CloseReason> {
+        let bytes_before = self.bytes_in;
+        let frames_before = self.connection.state.borrow().complete_frames();
+        let read_end = self.read_until_drained(stream).await;
+        if self.bytes_in > bytes_before {
+            if let Err(reason) = self.process_received(frames_before).await {
+                return Some(reason);
+            }
+        }
+        match read_end {
+            ReadEnd::Open => None,
+            ReadEnd::PeerClosed => Some(self.peer_close_reason()),
+            ReadEnd::Failed(reason) => Some(reason),
+        }
+    }
+
+    /// Reads the available bytes with at most [`MAX_READS`] reads.
+    ///
+    /// The bytes are processed only after all reads, because the bytes after an answer may show that the
+    /// answer is invalid.
+    async fn read_until_drained(&mut self, stream: &TcpStream) -> ReadEnd {
         for _ in 0..MAX_READS {
             let has_yielded = self.budget.spend().await;
             self.shared.instruments.counters.connections.forced_yields.add(u64::from(has_yielded));
             let read = retry_interrupted(|| stream.try_read(&mut self.shared.read_buffer.borrow_mut()));
             match read {
-                Ok(0) => return Some(self.peer_close_reason()),
-                Ok(count) => {
-                    if let Err(reason) = self.process_received(count).await {
-                        return Some(reason);
-                    }
-                }
+                Ok(0) => return ReadEnd::PeerClosed,
+                Ok(count) => self.feed(count),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.budget.replenish();
-                    return None;
+                    return ReadEnd::Open;
                 }
                 Err(error) if is_out_of_buffers(&error) => {
                     sleep(BUFFER_RETRY_DELAY).await;
-                    return None;
+                    return ReadEnd::Open;
                 }
-                Err(error) => return Some(CloseReason::from(&error)),
+                Err(error) => return ReadEnd::Failed(CloseReason::from(&error)),
             }
         }
-        None
+        ReadEnd::Open
     }
 
     fn peer_close_reason(&self) -> CloseReason {
@@ -131,9 +157,8 @@
         }
     }
 
-    /// Processes the first `count` bytes of the read buffer and sends the answers that they complete to the
-    /// event loop.
-    async fn process_received(&mut self, count: usize) -> Result<(), CloseReason> {
+    /// Passes the first `count` bytes of the read buffer to the decoder.
+    fn feed(&mut self, count: usize) {
         self.bytes_in += count as u64;
         self.last_activity = Instant::now();
         let instruments = &self.shared.instruments;
@@ -142,14 +167,17 @@
         instruments.recorder.record(|| {
             Record::for_query(EventKind::BytesRead, 0).on_connection(number).with_value(count as u64)
         });
+        self.connection.state.borrow_mut().feed(&self.shared.read_buffer.borrow()[..count]);
+    }
 
+    /// Sends the answers that the received bytes complete to the event loop. `frames_before` is the number of
+    /// frames that were complete before these bytes.
+    async fn process_received(&mut self, frames_before: u64) -> Result<(), CloseReason> {
         let state = &self.connection.state;
         let late_before = state.borrow().late_answers;
-        let frames_before = state.borrow().complete_frames();
-        state.borrow_mut().feed(&self.shared.read_buffer.borrow()[..count]);
         self.forward_answers().await?;
         let state = state.borrow();
-        instruments.counters.attempts.late_answers.add(state.late_answers - late_before);
+        self.shared.instruments.counters.attempts.late_answers.add(state.late_answers - late_before);
         if !state.is_mid_frame() {
             self.frame_started_at = None;
         } else if self.frame_started_at.is_none() || state.complete_frames() > frames_before {
--- a/crates/node/tests/misbehaving_peers.rs
+++ b/crates/node/tests/misbehaving_peers.rs
@@ -214,6 +214,34 @@
     assert!(deployment.front_node.stats()["attempts"]["reset"].as_u64() >= Some(1), "the part may have run");
 }
 
+/// Guards against an answer whose frame length is too small, and whose value would be served cut.
+#[test]
+fn an_answer_with_a_frame_length_that_is_too_small_is_not_served() {
+    let deployment = start_deployment(&ServerBehavior::Serving);
+    let mut client = deployment.client();
+    let mut served = 0;
+    for missing in 1..=12 {
+        for server in &deployment.servers[..3] {
+            server.set_behavior(ServerBehavior::UnderstatingLength(missing));
+        }
+        for _ in 0..5 {
+            let Query { id, text } = query("all", &[0, 1, 2], 2000);
+            let answer = client.send(&text);
+            // Half of the replicas fail, so that some queries are refused.
+            assert!([200, 503].contains(&answer.status), "{answer:?}");
+            if answer.status == 503 {
+                continue;
+            }
+            served += 1;
+            for item in answer.json()["items"].as_array().expect("items") {
+                assert_eq!(item["body"], format!("value of {id}.{}", item["slice"]), "missing {missing}");
+            }
+        }
+    }
+    assert!(served > 10, "other replicas answer: {served} of 60 queries served");
+    wait_for_logged_close(&deployment.front_node, "index_server", "short_frame_length");
+}
+
 #[test]
 fn extra_frames_or_a_close_after_an_answer_affect_no_other_query() {
     for behavior in
--- a/crates/protocol/src/frames.rs
+++ b/crates/protocol/src/frames/mod.rs
@@ -16,13 +16,14 @@
 //!   of the frame. `REPORT` is a load report.
 //! * Reject, sent by index servers after a frame that they could not process: a diagnostic text.
 
-use crate::names::FrameFormat;
+mod following_bytes;
+
+use crate::names::{FrameFormat, LENGTH_BYTES};
+use following_bytes::{is_text_byte, FollowingBytes};
 use std::rc::Rc;
 
 /// Maximum size of a frame in bytes, excluding its length field.
 pub const MAX_FRAME_BYTES: usize = 256 * 1024;
-/// Size of the length field in bytes.
-const LENGTH_BYTES: usize = 4;
 /// Size of the frame header in bytes: the length field and the type byte.
 pub(crate) const HEADER_BYTES: usize = LENGTH_BYTES + 1;
 /// Maximum length of the line in an answer frame (id, outcome, score and load report), in bytes.
@@ -38,6 +39,10 @@
     /// The frame length is 0 or above [`MAX_FRAME_BYTES`].
     #[error("frame length is 0 or above {MAX_FRAME_BYTES} bytes")]
     InvalidLength,
+    /// The frame of an answer is followed by text, which may be the rest of its value: its length is too
+    /// small.
+    #[error("frame length is smaller than the answer")]
+    LengthTooSmall,
     /// The type byte is neither that of an answer nor that of a reject frame.
     #[error("unknown frame type")]
     UnknownType,
@@ -62,6 +67,7 @@
     /// All variants.
     pub const ALL: &'static [FrameError] = &[
         FrameError::InvalidLength,
+        FrameError::LengthTooSmall,
         FrameError::UnknownType,
         FrameError::MalformedAnswerLine,
         FrameError::InvalidAnswerValue,
@@ -74,6 +80,7 @@
     pub fn code(self) -> &'static str {
         match self {
             FrameError::InvalidLength => "bad_frame_length",
+            FrameError::LengthTooSmall => "short_frame_length",
             FrameError::UnknownType => "bad_frame_letter",
             FrameError::MalformedAnswerLine => "bad_frame_line",
             FrameError::InvalidAnswerValue => "bad_frame_value",
@@ -232,13 +239,16 @@
 
     /// Returns the next frame, or `None` if no complete frame has been received.
     ///
+    /// The bytes that have been received after an answer are examined too, since they may show that its length
+    /// is too small. The caller should therefore feed all bytes that have been received before it asks for
+    /// frames.
+    ///
     /// # Errors
     /// [`FrameError`] if the received bytes violate the protocol, where possible before the frame is
     /// complete. The decoder can't be used after an error.
     pub fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
         let Some(length) = self.buffer.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
-        let decode_length = if self.format.little_endian { u32::from_le_bytes } else { u32::from_be_bytes };
-        let length = decode_length(*length) as usize;
+        let length = self.format.decode_length(*length);
         if length == 0 || length > MAX_FRAME_BYTES {
             return Err(FrameError::InvalidLength);
         }
@@ -248,6 +258,13 @@
             return Ok(None);
         }
         let frame = self.decode(self.buffer[LENGTH_BYTES], &self.buffer[HEADER_BYTES..end]);
+        if matches!(frame, Ok(Frame::Answer { .. })) {
+            match FollowingBytes::classify(&self.format, &self.buffer[end..]) {
+                FollowingBytes::Separate => {}
+                FollowingBytes::RestOfValue => return Err(FrameError::LengthTooSmall),
+                FollowingBytes::Undecided => return Ok(None),
+            }
+        }
         self.buffer.drain(..end);
         self.scanned = 0;
         self.complete_frames += 1;
@@ -327,5 +344,5 @@
 /// Index servers send no others. One that does occur indicates a wrong frame length: if the length is too
 /// large, the value includes the next frame, whose length field begins with a zero byte.
 fn is_plain_text(value: &str) -> bool {
-    !value.bytes().any(|byte| byte.is_ascii_control() && !matches!(byte, b'\t' | b'\n' | b'\r'))
+    value.bytes().all(is_text_byte)
 }
--- a/crates/protocol/src/names.rs
+++ b/crates/protocol/src/names.rs
@@ -5,6 +5,9 @@
 
 use serde_json::{Map, Value};
 
+/// Size of the length field of a frame in bytes.
+pub(crate) const LENGTH_BYTES: usize = 4;
+
 /// An invalid entry of the names file.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("name '{key}' {problem}")]
@@ -181,6 +184,12 @@
 }
 
 impl FrameFormat {
+    /// Decodes the length field of a frame.
+    pub(crate) fn decode_length(&self, bytes: [u8; LENGTH_BYTES]) -> usize {
+        let length = if self.little_endian { u32::from_le_bytes(bytes) } else { u32::from_be_bytes(bytes) };
+        length as usize
+    }
+
     fn read(file: &Map<String, Value>) -> Result<FrameFormat, WireNamesError> {
         let mut format = FrameFormat::default();
         let Some(group) = read_group(file, "fan")? else { return Ok(format) };
--- a/crates/protocol/tests/connection.rs
+++ b/crates/protocol/tests/connection.rs
@@ -10,6 +10,8 @@
 use pinetrestle_protocol::frames::{
     part_id, second_step_attributes, FrameError, PartOutcome, Score, MAX_FRAME_BYTES,
 };
+use pinetrestle_protocol::names::FrameFormat;
+use std::rc::Rc;
 
 fn outgoing_part(attempt_id: u64, id: &str) -> OutgoingPart {
     OutgoingPart {
@@ -57,7 +59,17 @@
 
 /// Opens a connection and writes one call for each part id. The attempt ids count up from 1.
 fn open_connection(ids: &[&str]) -> ConnectionState {
-    let mut connection = ConnectionState::default();
+    write_calls(ConnectionState::default(), ids)
+}
+
+/// Opens a connection with calls for the parts `q.3` and `q.4`, and with the given byte order of lengths.
+fn open_with_format(little_endian: bool) -> ConnectionState {
+    let format = FrameFormat { little_endian, ..FrameFormat::default() };
+    write_calls(ConnectionState::new(Rc::new(format)), &["q.3", "q.4"])
+}
+
+/// Writes one call for each part id. The attempt ids count up from 1.
+fn write_calls(mut connection: ConnectionState, ids: &[&str]) -> ConnectionState {
     for (attempt_id, id) in (1..).zip(ids) {
         assert_eq!(connection.queue_call(0, vec![outgoing_part(attempt_id, id)]), Vec::<u64>::new());
     }
@@ -511,3 +523,66 @@
     connection.feed(&duplicate);
     assert_eq!(connection.next_answer(|_| {}), Err(FrameError::TooManyAnswers));
 }
+
+/// Returns the values and the error that a connection gives for bytes that are received in one piece.
+fn receive(connection: &mut ConnectionState, bytes: &[u8]) -> (Vec<String>, Option<FrameError>) {
+    connection.feed(bytes);
+    let mut values = Vec::new();
+    loop {
+        match connection.next_answer(|_| {}) {
+            Ok(Some(answer)) => values.push(answer.value),
+            Ok(None) => return (values, None),
+            Err(error) => return (values, Some(error)),
+        }
+    }
+}
+
+/// Returns the bytes of an answer whose length field is too small by `missing` bytes.
+fn understated_answer(id: &str, missing: u32, little_endian: bool) -> Vec<u8> {
+    let content = format!("5{id} S 1 -\n5be2a07c19f04d63");
+    let length = content.len() as u32 - missing;
+    let length = if little_endian { length.to_le_bytes() } else { length.to_be_bytes() };
+    [&length[..], content.as_bytes()].concat()
+}
+
+/// Guards against an answer whose frame length is too small, and whose value would be served cut.
+#[test]
+fn an_answer_whose_length_is_too_small_gives_no_value() {
+    for little_endian in [false, true] {
+        for missing in 1..=16 {
+            let cut = understated_answer("q.3", missing, little_endian);
+            let next = understated_answer("q.4", 0, little_endian);
+            for bytes in [cut.clone(), [&cut[..], &next].concat(), [&cut[..], &next[..7]].concat()] {
+                let (values, error) = receive(&mut open_with_format(little_endian), &bytes);
+                assert!(values.is_empty(), "missing {missing}, little-endian {little_endian}: {values:?}");
+                // One or two bytes may also begin a little-endian length. The connection then times out.
+                let is_undecided = little_endian && missing <= 2 && bytes == cut;
+                let expected = (!is_undecided).then_some(FrameError::LengthTooSmall);
+                assert_eq!(error, expected, "missing {missing}, little-endian {little_endian}");
+            }
+        }
+    }
+}
+
+/// The bytes after an answer are no reason to drop it if they can't be the rest of its value.
+#[test]
+fn an_answer_is_returned_before_partial_frames_and_noise() {
+    for little_endian in [false, true] {
+        let valid = understated_answer("q.3", 0, little_endian);
+        let next = understated_answer("q.4", 0, little_endian);
+        for received in 0..next.len() {
+            let mut connection = open_with_format(little_endian);
+            let (first, error) = receive(&mut connection, &[&valid[..], &next[..received]].concat());
+            assert_eq!(error, None);
+            // A little-endian length may begin with text, so more of it may be needed.
+            assert!(first.len() == 1 || (little_endian && (1..=4).contains(&received)), "{received}");
+            let (second, error) = receive(&mut connection, &next[received..]);
+            assert_eq!((first.len() + second.len(), error), (2, None), "{received}");
+        }
+        for noise in [&b"\xff\xfe\xfd\xfc noise"[..], b"A\x9f\x80\x81\x82", b"text\x07\x9f\x80\x81\x82"] {
+            let mut connection = open_with_format(little_endian);
+            let (values, error) = receive(&mut connection, &[&valid[..], noise].concat());
+            assert_eq!((values.len(), error.is_some()), (1, true), "{noise:?}");
+        }
+    }
+}
--- a/crates/standins/src/server_behavior.rs
+++ b/crates/standins/src/server_behavior.rs
@@ -48,6 +48,8 @@
     ClosingAfterBytes(usize),
     /// Sends an answer byte by byte and doesn't complete it.
     Trickling,
+    /// Sends answers whose frame length is too small by this number of bytes.
+    UnderstatingLength(u32),
     /// Sends every answer again and again without a pause, until the connection ends.
     RepeatingAnswer,
 }
@@ -104,6 +106,7 @@
                 Action::Send([answers(parts), vec![0xff; GARBAGE_BYTES]].concat())
             }
             ServerBehavior::Trickling => Action::Trickle,
+            ServerBehavior::UnderstatingLength(missing) => Action::Send(understated_answers(parts, *missing)),
             ServerBehavior::RepeatingAnswer => Action::Repeat(answers(parts)),
             ServerBehavior::SendingInvalidFrame => Action::Send(b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec()),
             ServerBehavior::AnsweringUnknownPart => Action::Send(frame(ANSWER_FRAME, b"nobody.1 S 1 -\nv")),
@@ -121,6 +124,17 @@
     parts.iter().flat_map(|part| answer(part, status, "")).collect()
 }
 
+/// Encodes the answers, each with a frame length that is too small by `missing` bytes.
+fn understated_answers(parts: &[ReceivedPart], missing: u32) -> Vec<u8> {
+    let understate = |mut bytes: Vec<u8>| {
+        if let Some(length) = bytes.first_chunk_mut() {
+            *length = (u32::from_be_bytes(*length) - missing).to_be_bytes();
+        }
+        bytes
+    };
+    parts.iter().flat_map(|part| understate(answers(std::slice::from_ref(part)))).collect()
+}
+
 /// Encodes the answers without the last [`MISSING_BYTES`].
 fn incomplete_answers(parts: &[ReceivedPart]) -> Vec<u8> {
     let mut bytes = answers(parts);
