--- a/crates/standins/src/server_behavior.rs
+++ b/crates/standins/src/server_behavior.rs
@@ -6,7 +6,7 @@
 
 /// Number of bytes that are left out at the end of an incomplete answer.
 const MISSING_BYTES: usize = 3;
-/// Length of the value of a long answer, in bytes.
+/// Length of the value of an answer under [`ServerBehavior::StallingWithinLongAnswer`], in bytes.
 const LONG_ANSWER_BYTES: usize = 250 * 1024;
 /// Number of invalid bytes that follow an answer under [`ServerBehavior::AppendingGarbage`].
 const GARBAGE_BYTES: usize = 64;
@@ -32,7 +32,7 @@
     SendingInvalidFrame,
     /// Answers a part that was never sent to it.
     AnsweringUnknownPart,
-    /// Stops in the middle of an answer of [`LONG_ANSWER_BYTES`] and keeps the connection open.
+    /// Stops in the middle of an answer of 250 KiB and keeps the connection open.
     StallingWithinLongAnswer,
     /// Closes the connection in the middle of an answer.
     ClosingWithinAnswer,
