--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,24 +1,22 @@
-//! Clients that send many requests at once and go: the front node goes on sending parts for them.
+//! Restart and drain together where the list is pushed: discovery answers the first call of the new process late.
 
 #[path = "../common-2/mod.rs"]
 mod common;
 
 use common::*;
-use std::io::Write;
-use std::net::TcpStream;
 use std::thread;
 
-/// Number of requests that such a client sends at once.
-const REQUESTS: usize = 400;
-/// Time after a client's close from which on no attempt for it may begin: 0.1 s, and every time limit is extended by
-/// 50 ms.
-const ALLOWED: f64 = 100.0 + 50.0;
+/// Grace of the settings and the page's extension of every time limit, in milliseconds.
+const GRACE: f64 = 250.0;
+const SLACK: f64 = 50.0;
+/// Time that a call waits at a crowded discovery, in milliseconds.
+const CROWDED: u64 = 1000;
 
 fn main() {
-    let run = Run::begin("case 10: clients send many requests at once and go");
+    let run = Run::begin("case 10: an index server drains during a restart, and discovery is crowded");
     let traffic = Traffic::default();
-    let servers: Vec<Server> = (0..6).map(|number| start_server(&run, number, &traffic, ms(200))).collect();
-    let entries: Vec<Entry> = servers
+    let servers: Vec<Server> = (0..6).map(|number| start_server(&run, number, &traffic, ms(10))).collect();
+    let mut entries: Vec<Entry> = servers
         .iter()
         .map(|server| Entry {
             name: format!("s{}", server.number),
@@ -28,58 +26,66 @@
         })
         .collect();
     let discovery = Discovery::start(&run, entries.clone());
+    let settings = settings(&[
+        ("\"discovery\":\"ask\"", "\"discovery\":\"push\""),
+        ("\"drain_grace\":1000000", "\"drain_grace\":250000"),
+    ]);
     let address = free_address();
-    let known = list_json(1, &entries);
-    let config = config(address, discovery.address, &known, &settings(&[]));
-    let node = Node::start(&run, &config, address);
-    node.wait_until_ready(&run);
-    let clients =
-        Clients::start(&run, address, 2, ms(100), |_| ("steps", vec![0, 1, 2], 2000, "c41e".into()));
-    thread::sleep(ms(1500));
-    let text = "x".repeat(3000);
-    let mut left = Vec::new();
-    for _ in 0..10 {
-        let ids: Vec<String> = (0..if run.trouble { REQUESTS } else { 1 }).map(|_| fresh_id()).collect();
-        let bytes: Vec<u8> =
-            ids.iter().flat_map(|id| request(id, "steps", &[0, 1, 2], 2000, &text)).collect();
-        let mut stream = TcpStream::connect(address).expect("connect");
-        stream.set_write_timeout(Some(ms(100))).unwrap();
-        let sent = stream.write_all(&bytes).is_ok();
-        drop(stream);
-        let closed_at = run.now();
-        run.note(&format!(
-            "a client sent {} requests from {} ({} bytes, all: {sent}) and closed",
-            ids.len(),
-            ids[0],
-            bytes.len()
-        ));
-        left.push((ids, closed_at));
-        thread::sleep(ms(1200));
-    }
-    let outcomes = clients.stop();
-    let (mut late, mut clients_late) = (0, 0);
-    for (ids, closed_at) in &left {
-        let before = late;
-        for part in
-            traffic.parts.lock().unwrap().iter().filter(|part| ids.iter().any(|id| *id == query_of(&part.id)))
-        {
-            if part.first_at > closed_at + ALLOWED {
+    let start = |known: &[Entry], index: u64| {
+        let known = list_json(index, known);
+        Node::start(&run, &config(address, discovery.address, &known, &settings), address)
+    };
+    let mut node = start(&entries, 1);
+    let (mut late, mut after, mut all, mut served) = (0, 0, 0, 0);
+    for drained in [0, 1, 2] {
+        node.wait_until_ready(&run);
+        thread::sleep(ms(1500));
+        // A planned restart. The index server begins to drain while the front node is down, so that `known` is the
+        // list that the front node last had.
+        node.signal("TERM");
+        while !node.has_ended() {
+            thread::sleep(ms(5));
+        }
+        node.end();
+        run.note("front node has ended after SIGTERM");
+        let known = entries.clone();
+        discovery.change(true, |entries| entries[drained].status = "draining");
+        entries[drained].status = "draining";
+        run.note(&format!("s{drained} drains"));
+        thread::sleep(ms(500));
+        discovery.set_delay(ms(if run.trouble { CROWDED } else { 0 }));
+        let told = run.now();
+        node = start(&known, drained as u64 + 1);
+        node.wait_until_ready(&run);
+        let clients = Clients::start(&run, address, 4, ms(20), |number| {
+            let first = (number % 3) as u32 * 3;
+            ("all", vec![first, first + 1, first + 2], 1000, "c41e77d0".into())
+        });
+        thread::sleep(ms(2500));
+        let outcomes = clients.stop();
+        discovery.set_delay(ms(0));
+        all += outcomes.len();
+        served += outcomes.iter().filter(|outcome| outcome.status == 200).count();
+        for part in traffic.parts.lock().unwrap().iter().filter(|part| part.server == drained) {
+            after += usize::from(part.first_at > told);
+            if part.first_at > told + GRACE + SLACK {
                 late += 1;
                 run.note(&format!(
-                    "late: part {} began {:.1} ms after its client had closed",
+                    "late: part {} to s{drained}, {:.1} ms after the new process began",
                     part.id,
-                    part.first_at - closed_at
+                    part.first_at - told
                 ));
             }
         }
-        clients_late += usize::from(late > before);
     }
-    let served = outcomes.iter().filter(|outcome| outcome.status == 200).count();
     node.end();
+    if served * 10 < all * 9 {
+        run.verdict(COULD_NOT_RUN, &format!("could not run: served {served} of {all}"));
+    }
     let text = format!(
-        "{late} parts began more than {ALLOWED} ms after their client had closed, for {clients_late} of {} clients \
-         (usual requests served: {served} of {})",
-        left.len(), outcomes.len()
+        "{late} parts went to a draining index server later than {} ms after the first moment of the new process \
+         ({after} after it at all; served {served} of {all})",
+        GRACE + SLACK
     );
     run.verdict(if late > 0 { BROKEN } else { HELD }, &text);
 }
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,19 +1,23 @@
-//! Drains where the list is pushed: a watch ends instead of telling that an index server drains.
+//! Clients that send many requests at once and go: the front node goes on sending parts for them.
 
 #[path = "../common-2/mod.rs"]
 mod common;
 
 use common::*;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 
-/// Grace of the settings and the page's extension of every time limit, in milliseconds.
-const GRACE: f64 = 250.0;
-const SLACK: f64 = 50.0;
+/// Number of requests that such a client sends at once.
+const REQUESTS: usize = 400;
+/// Time after a client's close from which on no attempt for it may begin: 0.1 s, and every time limit is extended by
+/// 50 ms.
+const ALLOWED: f64 = 100.0 + 50.0;
 
 fn main() {
-    let run = Run::begin("case 8: a watch ends instead of telling that an index server drains");
+    let run = Run::begin("case 8: clients send many requests at once and go");
     let traffic = Traffic::default();
-    let servers: Vec<Server> = (0..6).map(|number| start_server(&run, number, &traffic, ms(10))).collect();
+    let servers: Vec<Server> = (0..6).map(|number| start_server(&run, number, &traffic, ms(200))).collect();
     let entries: Vec<Entry> = servers
         .iter()
         .map(|server| Entry {
@@ -24,58 +28,58 @@
         })
         .collect();
     let discovery = Discovery::start(&run, entries.clone());
-    let settings = settings(&[
-        ("\"discovery\":\"ask\"", "\"discovery\":\"push\""),
-        ("\"drain_grace\":1000000", "\"drain_grace\":250000"),
-    ]);
     let address = free_address();
     let known = list_json(1, &entries);
-    let node = Node::start(&run, &config(address, discovery.address, &known, &settings), address);
+    let config = config(address, discovery.address, &known, &settings(&[]));
+    let node = Node::start(&run, &config, address);
     node.wait_until_ready(&run);
-    for _ in 0..500 {
-        if discovery.open_watches() == 1 {
-            break;
-        }
-        thread::sleep(ms(10));
-    }
-    if discovery.open_watches() != 1 {
-        run.verdict(COULD_NOT_RUN, "could not run: the front node opened no watch within 5 s");
+    let clients =
+        Clients::start(&run, address, 2, ms(100), |_| ("steps", vec![0, 1, 2], 2000, "c41e".into()));
+    thread::sleep(ms(1500));
+    let text = "x".repeat(3000);
+    let mut left = Vec::new();
+    for _ in 0..10 {
+        let ids: Vec<String> = (0..if run.trouble { REQUESTS } else { 1 }).map(|_| fresh_id()).collect();
+        let bytes: Vec<u8> =
+            ids.iter().flat_map(|id| request(id, "steps", &[0, 1, 2], 2000, &text)).collect();
+        let mut stream = TcpStream::connect(address).expect("connect");
+        stream.set_write_timeout(Some(ms(100))).unwrap();
+        let sent = stream.write_all(&bytes).is_ok();
+        drop(stream);
+        let closed_at = run.now();
+        run.note(&format!(
+            "a client sent {} requests from {} ({} bytes, all: {sent}) and closed",
+            ids.len(),
+            ids[0],
+            bytes.len()
+        ));
+        left.push((ids, closed_at));
+        thread::sleep(ms(1200));
     }
-    let clients = Clients::start(&run, address, 4, ms(20), |number| {
-        let first = (number % 3) as u32 * 3;
-        ("all", vec![first, first + 1, first + 2], 1000, "c41e77d0".into())
-    });
-    // Each server drains once: s0 and s3 hold the same shards, so do s1 and s4; one of each stays up.
-    let mut late = 0;
-    let mut after = 0;
-    for drained in [0, 1, 2] {
-        thread::sleep(ms(3000));
-        let told = discovery.change(!run.trouble, |entries| entries[drained].status = "draining");
-        run.note(&format!("s{drained} drains from {told:.1}"));
-        thread::sleep(ms(2000));
-        for part in traffic.parts.lock().unwrap().iter().filter(|part| part.server == drained) {
-            after += usize::from(part.first_at > told);
-            if part.first_at > told + GRACE + SLACK {
+    let outcomes = clients.stop();
+    let (mut late, mut clients_late) = (0, 0);
+    for (ids, closed_at) in &left {
+        let before = late;
+        for part in
+            traffic.parts.lock().unwrap().iter().filter(|part| ids.iter().any(|id| *id == query_of(&part.id)))
+        {
+            if part.first_at > closed_at + ALLOWED {
                 late += 1;
                 run.note(&format!(
-                    "late: part {} to s{drained}, {:.1} ms after it was told",
+                    "late: part {} began {:.1} ms after its client had closed",
                     part.id,
-                    part.first_at - told
+                    part.first_at - closed_at
                 ));
             }
         }
+        clients_late += usize::from(late > before);
     }
-    let outcomes = clients.stop();
     let served = outcomes.iter().filter(|outcome| outcome.status == 200).count();
     node.end();
-    if served * 10 < outcomes.len() * 9 {
-        run.verdict(COULD_NOT_RUN, &format!("could not run: served {served} of {}", outcomes.len()));
-    }
     let text = format!(
-        "{late} parts went to a draining index server later than {} ms after the front node was told \
-         ({after} after it was told at all; served {served} of {})",
-        GRACE + SLACK,
-        outcomes.len()
+        "{late} parts began more than {ALLOWED} ms after their client had closed, for {clients_late} of {} clients \
+         (usual requests served: {served} of {})",
+        left.len(), outcomes.len()
     );
     run.verdict(if late > 0 { BROKEN } else { HELD }, &text);
 }
