Stopped long requests and answers lose their memory to messages that wait for it

Cause: a request reserved its announced length from the memory budget at its head; nothing took a reservation back before request_ms or frame_ms; a request that waited for memory did so past its client's time.

Change: no reservation before 4 KiB are in. A waiting message revokes memory from the peers whose message has been incomplete longest (StalledPeers, 100 ms). A request waits half of its client's time at most, then 503. Answers wait for memory up to frame_ms instead of being cut off. Complete requests return what they reserved too much.

--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -81,8 +81,12 @@
         let Some(request) = self.socket.requests.request() else { return Err(CloseReason::IoError) };
         let keep_alive = request.keeps_alive();
         let mut action = self.context.route(&request, received_at);
+        let mut reservation = self.reservation.take();
+        if let Some(reservation) = &mut reservation {
+            reservation.shrink_to(self.socket.requests.complete_bytes());
+        }
         self.socket.requests.release_body();
-        action.attach_reservation(self.reservation.take());
+        action.attach_reservation(reservation);
         let query = action.query_key();
         let pending_reply = PendingReply::new(services.invariants.clone(), query.unwrap_or(0));
         let outcome = match self.handle(action, received_at).await {
@@ -187,6 +191,7 @@
     /// Closes the socket. The connection stops counting toward the limit on open connections when the socket
     /// is closed, or immediately if it was evicted.
     async fn close(&mut self, reason: CloseReason) {
+        self.discard_requests();
         let linger = self.context.services.live_config.get().transport.linger;
         let admission = &self.context.admission;
         if reason == CloseReason::Evicted {
@@ -204,6 +209,12 @@
         }
     }
 
+    /// Drops the current request and all bytes after it, so that no memory is held while the socket is closed.
+    pub(super) fn discard_requests(&mut self) {
+        self.socket.discard_requests();
+        self.reservation = None;
+    }
+
     /// Counts and logs the close of the connection.
     fn report_close(&self, peer: SocketAddr, reason: CloseReason) {
         let services = &self.context.services;
--- a/crates/node/src/clients/request_reader.rs
+++ b/crates/node/src/clients/request_reader.rs
@@ -9,10 +9,14 @@
 use crate::deadline::before_deadline;
 use crate::shutdown::{wait_for_phase, PhaseReceiver, ShutdownPhase};
 use pinetrestle_protocol::head::HttpError;
+use pinetrestle_protocol::query::parse_expiry;
 use pinetrestle_protocol::requests::RequestProgress;
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
 
+/// Maximum time that a request waits for memory whose head is not complete or states no expiry.
+const DEFAULT_MEMORY_WAIT: Duration = Duration::from_millis(250);
+
 /// A connection's wait for its next request, with the times that determine the deadlines of this wait.
 #[derive(Clone, Copy)]
 struct RequestWait {
@@ -98,7 +102,7 @@
                 Ok(RequestProgress::Complete) => return Ok(request_began_at.unwrap_or_else(Instant::now)),
                 Ok(RequestProgress::Partial) => {
                     let began_at = *request_began_at.get_or_insert_with(Instant::now);
-                    self.read_more(wait.request_deadline(transport, began_at)).await?;
+                    self.read_more(began_at, wait.request_deadline(transport, began_at)).await?;
                 }
                 Ok(RequestProgress::Idle) => {
                     self.wait_for_first_bytes(transport, wait).await?;
@@ -109,9 +113,13 @@
         }
     }
 
-    /// Reads more bytes of a partial request. If no bytes are received by `deadline`, or by the deadline of a
-    /// shutdown, responds with an error and returns the reason to close the connection.
-    async fn read_more(&mut self, deadline: Instant) -> Result<(), CloseReason> {
+    /// Reads more bytes of a partial request, of which the first byte was received at `began_at`.
+    ///
+    /// # Errors
+    /// The reason to close the connection, if no bytes are received by `deadline` or by the deadline of a shutdown,
+    /// if there is no memory for the request, or if the client has closed the connection. Otherwise an error
+    /// response has been written.
+    async fn read_more(&mut self, began_at: Instant, deadline: Instant) -> Result<(), CloseReason> {
         let context = self.context.clone();
         let mut phases = self.phases.clone();
         let shutdown = async {
@@ -120,27 +128,66 @@
         };
         let reason = tokio::select! {
             biased;
-            read = before_deadline(deadline, self.read_with_reservation()) => match read {
-                Some(result) => return result,
-                None => CloseReason::RequestTimeout,
+            read = self.read_with_reservation(began_at, deadline) => match read {
+                Ok(()) => return Ok(()),
+                Err(reason) => reason,
             },
             () = shutdown => CloseReason::Shutdown,
         };
         let response = match reason {
             CloseReason::RequestTimeout => Response::with_reason(408, "request_timeout"),
-            _ => Response::with_reason(503, "stopping"),
+            CloseReason::NoRequestMemory => Response::with_reason(503, "no_request_memory"),
+            CloseReason::Shutdown => Response::with_reason(503, "stopping"),
+            _ => return Err(reason),
         };
+        // The client may be slow to receive the response. Its request must not hold memory meanwhile.
+        self.discard_requests();
         self.socket.write(&response, true).await?;
         Err(reason)
     }
 
-    /// Reads more bytes of a partial request. Reserves memory first if the request is large.
-    async fn read_with_reservation(&mut self) -> Result<(), CloseReason> {
+    /// Reads more bytes of a partial request. Reserves memory first if the request is large. The memory may be
+    /// revoked while the client sends nothing.
+    async fn read_with_reservation(
+        &mut self,
+        began_at: Instant,
+        deadline: Instant,
+    ) -> Result<(), CloseReason> {
+        self.reserve_memory(deadline).await?;
+        let context = self.context.clone();
+        let held = self.reservation.as_ref().or(self.socket.read_ahead());
+        let (held_since, bytes) =
+            held.map_or((began_at, 0), |held| (held.granted_at().max(began_at), held.bytes()));
+        tokio::select! {
+            biased;
+            read = before_deadline(deadline, self.socket.read()) => {
+                read.unwrap_or(Err(CloseReason::RequestTimeout))
+            }
+            () = context.services.memory_budget.revoked(held_since, bytes), if bytes > 0 => {
+                Err(CloseReason::NoRequestMemory)
+            }
+        }
+    }
+
+    /// Reserves memory for the current request if it is large and has no reservation yet.
+    async fn reserve_memory(&mut self, deadline: Instant) -> Result<(), CloseReason> {
         let bytes = self.socket.requests.reservation();
-        if bytes > 0 && self.reservation.is_none() {
-            self.reservation = self.context.services.memory_budget.reserve(bytes).await;
+        if bytes == 0 || self.reservation.is_some() {
+            return Ok(());
         }
-        self.socket.read().await
+        let give_up_at = deadline.min(Instant::now() + self.max_memory_wait());
+        let memory_budget = &self.context.services.memory_budget;
+        let reservation = before_deadline(give_up_at, memory_budget.reserve(bytes)).await.flatten();
+        self.reservation = Some(reservation.ok_or(CloseReason::NoRequestMemory)?);
+        Ok(())
+    }
+
+    /// Returns how long the current request may wait for memory: half of the time that its client allows, so that
+    /// the client can try again elsewhere, or [`DEFAULT_MEMORY_WAIT`] if its head is not complete.
+    fn max_memory_wait(&self) -> Duration {
+        let config = self.context.services.live_config.get();
+        let expiry = self.socket.requests.head_field(&config.names.wire.header_names.expires);
+        parse_expiry(expiry).map_or(DEFAULT_MEMORY_WAIT, |micros| Duration::from_micros(micros as u64) / 2)
     }
 
     /// Waits on an idle connection for the first bytes of a request.
--- a/crates/node/src/clients/socket.rs
+++ b/crates/node/src/clients/socket.rs
@@ -153,6 +153,18 @@
         }
     }
 
+    /// Returns the memory reserved for bytes that were read ahead, if there is any.
+    pub(super) fn read_ahead(&self) -> Option<&Reservation> {
+        self.read_ahead.as_ref()
+    }
+
+    /// Drops all bytes that were read and not processed, and the memory reserved for them. No further request can
+    /// be parsed.
+    pub(super) fn discard_requests(&mut self) {
+        self.requests = RequestParser::default();
+        self.read_ahead = None;
+    }
+
     /// Waits until the client sends more bytes or disconnects. Returns `false` if the client has
     /// disconnected.
     pub(super) async fn wait_for_input(&mut self) -> bool {
--- a/crates/node/src/close_reason.rs
+++ b/crates/node/src/close_reason.rs
@@ -55,6 +55,9 @@
     ShutdownIdle => "shutdown_between",
     /// A request was not complete within the request timeout.
     RequestTimeout => "request_timeout",
+    /// The memory for large requests was used up: a request could not be received in time, or it was incomplete
+    /// for so long that its memory was revoked.
+    NoRequestMemory => "no_request_memory",
     /// No request was received on a new connection within the first-request timeout.
     NoRequest => "never_asked",
     /// The client sent more malformed requests than are allowed on one connection.
@@ -79,7 +82,8 @@
     PeerClosedMidFrame => "ended_within_frame",
     /// A partially received frame was not complete within the frame timeout.
     StalledMidFrame => "stalled_within_frame",
-    /// A large frame was received partially while the memory for large frames was used up.
+    /// The memory for large frames was used up: a frame could not be received in time, or it was incomplete for
+    /// so long that its memory was revoked.
     NoFrameMemory => "no_frame_memory",
     /// The peer refused the connection.
     ConnectRefused => "connect_refused",
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -150,8 +150,10 @@
         server_bytes_in => "server_bytes_in",
         /// Bytes written to index servers.
         server_bytes_out => "server_bytes_out",
-        /// Requests that had to wait until memory for them could be reserved.
+        /// Large requests and answers that had to wait until memory for them could be reserved.
         memory_waits => "memory_waits",
+        /// Bytes of reserved memory that were revoked from peers that had stalled in the middle of a message.
+        memory_revoked => "memory_revoked",
         /// Times that the task of a connection had processed so much from its peer in a row that it let the
         /// other tasks run.
         forced_yields => "forced_yields",
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,8 @@
 //!   messages of the other tasks to the host and executes the commands that the host returns.
 //! - `clients` accepts and serves client connections.
 //! - `upstream` manages the connections to index servers.
+//! - `memory_budget` limits the memory of large messages, and `stalled_peers` revokes what peers hold that stop in
+//!   the middle of a message.
 //! - `discovery` watches the endpoint list, which contains the addresses of the index servers.
 //! - `serve` starts these tasks and performs a graceful shutdown. `shutdown` defines the phases of the
 //!   shutdown.
@@ -45,6 +47,7 @@
 mod reload;
 mod serve;
 mod shutdown;
+mod stalled_peers;
 mod upstream;
 
 pub use config::Config;
--- a/crates/node/src/upstream/driver.rs
+++ b/crates/node/src/upstream/driver.rs
@@ -5,6 +5,7 @@
 use super::Shared;
 use crate::close_reason::CloseReason;
 use crate::deadline::before_deadline;
+use crate::memory_budget::Reservation;
 use crate::messages::Message;
 use pinetrestle_protocol::connection::OutgoingPart;
 use pinetrestle_recorder::{EventKind, Record};
@@ -133,9 +134,14 @@
         let write_at = self.shared.clock_origin + Duration::from_micros(next_write.unwrap_or_default());
         let frame_deadline = transfer.frame_started_at().map(|started_at| started_at + timeouts.frame);
         let idle_left = timeouts.idle.saturating_sub(transfer.idle_time());
+        let reserved_since = transfer.reservation().map(Reservation::granted_at);
+        let reserved_bytes = transfer.reservation().map_or(0, Reservation::bytes);
+        let revoked =
+            self.shared.memory_budget.revoked(reserved_since.unwrap_or_else(Instant::now), reserved_bytes);
         tokio::select! {
             ready = stream.ready(interest) => ready.err().map(|error: io::Error| CloseReason::from(&error)),
             () = self.connection.woken() => None,
+            () = revoked, if reserved_bytes > 0 => Some(CloseReason::NoFrameMemory),
             () = sleep_until(write_at), if next_write.is_some() && !write_due => None,
             // Yields, so that bytes that arrived before the deadline are read before the timeout is applied.
             () = sleep_until(frame_deadline.unwrap_or_else(Instant::now)), if frame_deadline.is_some() => {
--- a/crates/node/src/upstream/transfer.rs
+++ b/crates/node/src/upstream/transfer.rs
@@ -3,6 +3,7 @@
 use super::connection::Connection;
 use super::Shared;
 use crate::close_reason::CloseReason;
+use crate::deadline::before_deadline;
 use crate::invariants::PartStart;
 use crate::memory_budget::Reservation;
 use crate::messages::Message;
@@ -135,7 +136,7 @@
     /// answer is invalid.
     async fn read_until_drained(&mut self, stream: &TcpStream) -> ReadEnd {
         for _ in 0..MAX_READS {
-            if !self.reserve_frame() {
+            if !self.reserve_frame().await {
                 return ReadEnd::Failed(CloseReason::NoFrameMemory);
             }
             let has_yielded = self.budget.spend().await;
@@ -158,14 +159,22 @@
         ReadEnd::Open
     }
 
-    /// Reserves memory for the partially received frame if it is large. Returns whether there is enough memory.
-    fn reserve_frame(&mut self) -> bool {
+    /// Reserves memory for the partially received frame if it is large. Waits for it up to the frame timeout.
+    /// Returns whether there is enough memory.
+    async fn reserve_frame(&mut self) -> bool {
         let frame_bytes = self.connection.state.borrow().partial_frame_bytes().unwrap_or(0);
-        if frame_bytes > UNRESERVED_FRAME_BYTES && self.reservation.is_none() {
-            self.reservation = self.shared.memory_budget.try_reserve(frame_bytes);
-            return self.reservation.is_some();
+        if frame_bytes <= UNRESERVED_FRAME_BYTES || self.reservation.is_some() {
+            return true;
         }
-        true
+        let deadline = Instant::now() + self.shared.live_config.get().transport.frame_timeout;
+        let reservation = before_deadline(deadline, self.shared.memory_budget.reserve(frame_bytes)).await;
+        self.reservation = reservation.flatten();
+        self.reservation.is_some()
+    }
+
+    /// Returns the memory reserved for the partially received frame, if it is large.
+    pub(super) fn reservation(&self) -> Option<&Reservation> {
+        self.reservation.as_ref()
     }
 
     fn peer_close_reason(&self) -> CloseReason {
--- a/crates/protocol/src/requests.rs
+++ b/crates/protocol/src/requests.rs
@@ -107,9 +107,9 @@
 impl RequestParser {
     /// Appends received bytes, at most [`read_limit`](RequestParser::read_limit) of them.
     pub fn feed(&mut self, bytes: &[u8]) {
-        // Reserves exactly what a body of known length needs, because a growing vector would reserve up to twice
+        // Allocates exactly what a body of known length needs, because a growing vector would allocate up to twice
         // as much and many connections may hold such a buffer at once.
-        let outstanding = self.body.end.saturating_sub(self.buffer.len());
+        let outstanding = self.outstanding_bytes().min(self.unreserved_read_limit());
         self.buffer.reserve_exact(outstanding.max(bytes.len()));
         self.buffer.extend_from_slice(bytes);
     }
@@ -124,7 +124,23 @@
             (None, _) if self.buffer.len() < READ_STEP_BYTES => READ_STEP_BYTES,
             (None, _) => (MAX_HEAD_BYTES + READ_STEP_BYTES).saturating_sub(self.buffer.len()),
             (Some(_), Some(_)) => READ_STEP_BYTES,
-            (Some(_), None) => self.body.end.saturating_sub(self.buffer.len()),
+            (Some(_), None) => self.outstanding_bytes().min(self.unreserved_read_limit()),
+        }
+    }
+
+    /// Returns the number of bytes that a body of known length lacks.
+    fn outstanding_bytes(&self) -> usize {
+        self.body.end.saturating_sub(self.buffer.len())
+    }
+
+    /// Returns the maximum number of bytes that may be read before the next call of
+    /// [`reservation`](RequestParser::reservation).
+    fn unreserved_read_limit(&self) -> usize {
+        let may_need_reservation = self.body.end > UNRESERVED_BYTES && self.buffer.len() < READ_STEP_BYTES;
+        if may_need_reservation {
+            READ_STEP_BYTES
+        } else {
+            usize::MAX
         }
     }
 
@@ -135,14 +151,15 @@
 
     /// Returns the number of bytes that the caller has to reserve for the current request before it reads more
     /// of it, so that the memory of all connections together stays within a limit. It is 0 for a request that
-    /// needs at most [`UNRESERVED_BYTES`], as far as is known.
+    /// needs at most [`UNRESERVED_BYTES`], as far as is known, and as long as few bytes have been received: a client
+    /// that announces a long body and does not send it holds no reservation.
     ///
     /// A reservation covers the current request until [`finish_request`](RequestParser::finish_request); no
     /// further one is needed.
     pub fn reservation(&self) -> usize {
         let stored = self.buffer.len() + self.decoded_body.len();
         match (&self.head, &self.chunked) {
-            (None, _) | (Some(_), Some(_)) if stored < READ_STEP_BYTES => 0,
+            _ if stored < READ_STEP_BYTES => 0,
             (None, _) => MAX_HEAD_BYTES + MAX_BODY_BYTES,
             (Some(head), Some(_)) => head.len + MAX_BODY_BYTES,
             (Some(_), None) if self.body.end <= UNRESERVED_BYTES => 0,
@@ -243,6 +260,18 @@
         Some(Request { head, bytes: &self.buffer, body })
     }
 
+    /// Returns the value of a header field of the current request. Returns `None` if the head is not complete or
+    /// the field is absent, repeated or not UTF-8.
+    pub fn head_field<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        let request = Request { head: self.head.as_ref()?, bytes: &self.buffer, body: &[] };
+        request.field(name).ok().flatten()
+    }
+
+    /// Returns the number of bytes stored of the current request if it is complete, otherwise 0.
+    pub fn complete_bytes(&self) -> usize {
+        self.complete_len.map_or(0, |len| len + self.decoded_body.len())
+    }
+
     /// Returns the number of buffered bytes after the current request, or 0 if the request is not complete.
     pub fn buffered_after_request(&self) -> usize {
         self.complete_len.map_or(0, |len| self.buffer.len() - len)
--- a/crates/standins/src/server_behavior.rs
+++ b/crates/standins/src/server_behavior.rs
@@ -8,6 +8,8 @@
 const MISSING_BYTES: usize = 3;
 /// Length of the value of an answer under [`ServerBehavior::StallingWithinLongAnswer`], in bytes.
 const LONG_ANSWER_BYTES: usize = 250 * 1024;
+/// Length of the value of an answer under [`ServerBehavior::ServingLongAnswers`], in bytes.
+const SERVED_LONG_ANSWER_BYTES: usize = 40 * 1024;
 /// Number of invalid bytes that follow an answer under [`ServerBehavior::AppendingGarbage`].
 const GARBAGE_BYTES: usize = 64;
 
@@ -18,6 +20,8 @@
     Serving,
     /// Answers each part with a value after this time, and goes on reading meanwhile.
     ServingAfter(Duration),
+    /// Answers each part with a value of 40 KiB.
+    ServingLongAnswers,
     /// Reads parts and answers none.
     Silent,
     /// Answers nothing on its first connections, as many as this number, and serves on later ones.
@@ -106,6 +110,7 @@
             ServerBehavior::ResettingAfter(delay) => Action::Reset { delay: *delay },
             ServerBehavior::StallingWithinAnswer => Action::Send(incomplete_answers(parts)),
             ServerBehavior::StallingWithinLongAnswer => Action::Send(incomplete_long_answers(parts)),
+            ServerBehavior::ServingLongAnswers => Action::Send(long_answers(parts)),
             ServerBehavior::AnsweringTwice => Action::Send(answers(parts).repeat(2)),
             ServerBehavior::AppendingGarbage => {
                 Action::Send([answers(parts), vec![0xff; GARBAGE_BYTES]].concat())
@@ -124,6 +129,11 @@
     parts.iter().flat_map(|part| answer(part, "S", &format!("value of {}", part.id))).collect()
 }
 
+/// Encodes one answer frame per part, each with a long value.
+fn long_answers(parts: &[ReceivedPart]) -> Vec<u8> {
+    parts.iter().flat_map(|part| answer(part, "S", &"v".repeat(SERVED_LONG_ANSWER_BYTES))).collect()
+}
+
 /// Encodes one answer frame per part with this status (`E`: error, `B`: rejected) and no value.
 fn answers_without_value(parts: &[ReceivedPart], status: &str) -> Vec<u8> {
     parts.iter().flat_map(|part| answer(part, status, "")).collect()
