--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -3,7 +3,7 @@
 
 use super::response::Response;
 use super::routes::RequestAction;
-use super::socket::ClientSocket;
+use super::socket::{ClientSocket, ClientState};
 use super::ClientContext;
 use crate::close_reason::CloseReason;
 use crate::host::QueryRequest;
@@ -18,11 +18,14 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 /// Number of malformed requests after which a connection is closed.
 const MAX_MALFORMED_REQUESTS: u32 = 16;
 
+/// Delay before a request is rejected because its client sends without a pause behind it.
+const PIPELINE_REJECTION_DELAY: Duration = Duration::from_millis(250);
+
 /// An open client connection.
 pub(super) struct Connection {
     /// The state shared by all client connections.
@@ -73,6 +76,9 @@
     /// The reason to close the connection. If a request was read, its response has been written, unless the
     /// client disconnected or the socket failed.
     async fn serve_request(&mut self) -> Result<(), CloseReason> {
+        if self.socket.has_only_skipped_requests() {
+            return self.reject_skipped_requests().await;
+        }
         let began_at = self.read_request().await?;
         let received_at = self.socket.request_received_at(began_at);
         self.requests_read += 1;
@@ -125,25 +131,35 @@
     ) -> Result<Response, CloseReason> {
         let context = self.context.clone();
         let services = &context.services;
-        if self.socket.has_disconnected() {
-            services.recorder.record(|| Record::for_query(EventKind::ClientDisconnected, query));
-            return Err(CloseReason::ClientDisconnected);
+        match self.socket.check_client() {
+            ClientState::Connected => {}
+            ClientState::Unknown => {
+                sleep(PIPELINE_REJECTION_DELAY).await;
+                return Ok(self.pipeline_rejection(1));
+            }
+            ClientState::Disconnected => {
+                services.recorder.record(|| Record::for_query(EventKind::ClientDisconnected, query));
+                return Err(CloseReason::ClientDisconnected);
+            }
         }
         let query_number = context.allocate_query_number();
         let (reply_sender, mut reply) = oneshot::channel();
         // Fails only if the event loop has ended, which ends the program. `reply` then fails too.
         let _ =
             services.to_event_loop.send(Message::Query { query_number, request, reply: reply_sender }).await;
-        loop {
+        let state = loop {
             tokio::select! {
                 biased;
                 result = &mut reply => return Ok(Response::for_query(result)),
-                connected = self.socket.wait_for_input() => if !connected { break },
+                state = self.socket.wait_for_input() => if state != ClientState::Connected { break state },
             }
-        }
+        };
         services.recorder.record(|| Record::for_query(EventKind::ClientDisconnected, query));
         let _ = services.to_event_loop.send(Message::ClientDisconnected { query_number }).await;
-        Err(CloseReason::ClientDisconnected)
+        match state {
+            ClientState::Unknown => Ok(Response::with_reason(500, "pipeline_full")),
+            _ => Err(CloseReason::ClientDisconnected),
+        }
     }
 
     /// Writes the response. Returns the reason to close the connection after the response, or `None` to keep
@@ -175,7 +191,7 @@
         // deadline.
         let deadline = self.context.shutdown_deadline.get();
         let has_buffered_request =
-            !self.socket.requests.is_empty() && deadline.is_some_and(|at| Instant::now() < at);
+            self.socket.has_buffered_requests() && deadline.is_some_and(|at| Instant::now() < at);
         let is_closing = *self.phases.borrow() >= ShutdownPhase::Closing && !has_buffered_request;
         if !keep_alive {
             Some(CloseReason::ConnectionClose)
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -5,6 +5,7 @@
 //! - `connection`: the lifecycle of one connection, from accept to close.
 //! - `request_reader`: reads the next request of a connection and enforces the read timeouts.
 //! - `socket`: reads, writes and the lingering close on the socket of one connection.
+//! - `pipeline_overflow`, `pipeline_rejection`: requests that a client pipelines beyond the read-ahead limit.
 //! - `receive_times`: the times at which the bytes of a connection were received.
 //! - `routes`: dispatch of a request by method and path, and validation of a query.
 //! - `response`: the HTTP response to a request.
@@ -14,6 +15,8 @@
 mod admission;
 mod connection;
 mod listener;
+mod pipeline_overflow;
+mod pipeline_rejection;
 mod receive_times;
 mod request_reader;
 mod response;
--- a/crates/node/src/clients/request_reader.rs
+++ b/crates/node/src/clients/request_reader.rs
@@ -216,7 +216,7 @@
 
     /// Responds with an error to bytes that are not a valid HTTP request, and returns the reason to close the
     /// connection.
-    async fn reject_unparsable(&mut self, error: HttpError) -> Result<Instant, CloseReason> {
+    pub(super) async fn reject_unparsable<T>(&mut self, error: HttpError) -> Result<T, CloseReason> {
         self.context.services.counters.connections.bad_requests.increment();
         self.socket.write(&Response::with_reason(error.status(), error.code()), true).await?;
         Err(error.into())
--- a/crates/node/src/clients/response.rs
+++ b/crates/node/src/clients/response.rs
@@ -33,7 +33,7 @@
     }
 
     /// Returns a 503 response. `retry_after` is the delay in microseconds after which the client may retry.
-    fn unavailable(code: &str, retry_after: Option<i64>) -> Response {
+    pub(super) fn unavailable(code: &str, retry_after: Option<i64>) -> Response {
         Response { retry_after, ..Response::with_reason(503, code) }
     }
 
--- a/crates/node/src/clients/socket.rs
+++ b/crates/node/src/clients/socket.rs
@@ -1,14 +1,16 @@
 //! The socket of one client connection: reads into the request parser, writes with a timeout, and the
 //! lingering close.
 
+use super::pipeline_overflow::{PipelineOverflow, SkipAllowance};
 use super::receive_times::ReceiveTimes;
 use super::response::Response;
-use super::ClientContext;
+use super::{ClientContext, READ_BUFFER_BYTES};
 use crate::close_reason::CloseReason;
 use crate::deadline::before_deadline;
 use crate::memory_budget::Reservation;
+use pinetrestle_protocol::head::HttpError;
 use pinetrestle_protocol::requests::{
-    response_head, RequestParser, RESERVED_READ_AHEAD_BYTES, UNRESERVED_READ_AHEAD_BYTES,
+    response_head, RequestParser, SkipEnd, RESERVED_READ_AHEAD_BYTES, UNRESERVED_READ_AHEAD_BYTES,
 };
 use pinetrestle_system_calls::{is_out_of_buffers, retry_interrupted, TaskBudget, BUFFER_RETRY_DELAY};
 use std::io::{self, ErrorKind, IoSlice};
@@ -21,9 +23,31 @@
 /// Maximum number of bytes that are read and discarded during a lingering close. A client that sends more
 /// after the response has had time to receive the response.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
-/// Interval at which a connection is checked for a disconnect while it is not read, because its receive
-/// buffer is full of pipelined requests.
-const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum number of consecutive reads in one check for a disconnect.
+const MAX_READS_PER_CHECK: usize = 16;
+
+/// What is known about a client while its request is processed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClientState {
+    /// The client has not closed its side of the connection, as far as has been received.
+    Connected,
+    /// The client has disconnected.
+    Disconnected,
+    /// The client has sent so much behind its request that it may have disconnected behind that.
+    Unknown,
+}
+
+/// The next of the requests that were skipped.
+pub(super) enum SkippedRequest {
+    /// One or more complete requests.
+    Complete { requests: usize },
+    /// The client asked for the connection to be closed after the request that was taken last.
+    Close,
+    /// A request that has been received partially.
+    Partial,
+    /// Bytes that are not a valid request.
+    Malformed(HttpError),
+}
 
 /// The socket of a client connection, with the bytes read from it.
 pub(super) struct ClientSocket {
@@ -32,6 +56,11 @@
     /// Parses the bytes read into requests.
     pub(super) requests: RequestParser,
     receive_times: ReceiveTimes,
+    /// Number of bytes passed to the request parser, from which `receive_times` counts.
+    parsed_bytes: u64,
+    /// The requests behind those that the request parser stores, if there are too many to store.
+    overflow: Option<Box<PipelineOverflow>>,
+    skip_allowance: SkipAllowance,
     /// The memory reserved for bytes that were read ahead of the current request, if these are many.
     read_ahead: Option<Reservation>,
     /// Keeps a client that sends without a pause from occupying the thread.
@@ -53,6 +82,9 @@
             stream,
             requests: RequestParser::default(),
             receive_times: ReceiveTimes::default(),
+            parsed_bytes: 0,
+            overflow: None,
+            skip_allowance: SkipAllowance::new(Instant::now()),
             read_ahead: None,
             budget: TaskBudget::default(),
             bytes_in: 0,
@@ -67,7 +99,7 @@
     /// A pipelined request may have been received completely before `began_at`, while the previous response
     /// was still pending.
     pub(super) fn request_received_at(&mut self, began_at: Instant) -> Instant {
-        let request_end = self.bytes_in - self.requests.buffered_after_request() as u64;
+        let request_end = self.parsed_bytes - self.requests.buffered_after_request() as u64;
         self.receive_times.received_by(request_end).map_or(began_at, |received_at| received_at.min(began_at))
     }
 
@@ -114,10 +146,10 @@
         self.budget.yields()
     }
 
-    /// Reads the available bytes into the request parser and returns their number. 0 means that the client
-    /// has closed its side of the connection.
+    /// Reads the available bytes into the request parser, or skips them if it stores too many, and returns their
+    /// number. 0 means that the client has closed its side of the connection.
     fn try_read(&mut self) -> io::Result<usize> {
-        let read_limit = self.read_limit();
+        let read_limit = if self.is_skipping() { usize::MAX } else { self.read_limit() };
         let services = &self.context.services;
         let mut buffer = self.context.read_buffer.borrow_mut();
         let limit = read_limit.min(buffer.len());
@@ -126,11 +158,88 @@
         self.bytes_in += count as u64;
         services.counters.connections.client_bytes_in.add(count as u64);
         let drained = count < buffer.len();
-        self.receive_times.record_read(self.bytes_in, services.pause_detector.earliest_arrival(), drained);
-        self.requests.feed(&buffer[..count]);
+        if let Some(overflow) = &mut self.overflow {
+            overflow.skip(&buffer[..count], Instant::now(), drained);
+            self.skip_allowance.spend(count);
+        } else {
+            self.parsed_bytes += count as u64;
+            let received_at = services.pause_detector.earliest_arrival();
+            self.receive_times.record_read(self.parsed_bytes, received_at, drained);
+            self.requests.feed(&buffer[..count]);
+        }
         Ok(count)
     }
 
+    /// Returns whether received bytes are skipped. Starts to skip if the request parser stores as much as it may.
+    fn is_skipping(&mut self) -> bool {
+        if self.overflow.is_none() && self.read_limit() == 0 {
+            let stored_before = self.requests.buffered_after_request();
+            let skipper = self.requests.skip_further_requests();
+            self.parsed_bytes -= (stored_before - self.requests.buffered_after_request()) as u64;
+            self.overflow = Some(Box::new(PipelineOverflow { skipper, unread_since: None }));
+        }
+        self.overflow.is_some()
+    }
+
+    /// Returns whether received bytes would be skipped and no more may be skipped now.
+    fn is_over_skip_allowance(&mut self) -> bool {
+        self.is_skipping() && !self.skip_allowance.covers(Instant::now(), READ_BUFFER_BYTES)
+    }
+
+    /// Waits until a read may be skipped.
+    pub(super) async fn wait_for_skip_allowance(&mut self) {
+        while self.is_over_skip_allowance() {
+            sleep(self.skip_allowance.time_until(READ_BUFFER_BYTES)).await;
+        }
+    }
+
+    /// Returns whether there are requests that have been received and not been processed.
+    pub(super) fn has_buffered_requests(&self) -> bool {
+        !self.requests.is_empty() || self.overflow.is_some()
+    }
+
+    /// Returns whether all requests have been processed except those that were skipped.
+    pub(super) fn has_only_skipped_requests(&self) -> bool {
+        self.requests.is_empty() && self.overflow.is_some()
+    }
+
+    /// Takes the next of the skipped requests, up to `max_requests` if they are complete. If there is none, ends
+    /// the skipping and returns `None`.
+    pub(super) fn take_skipped_requests(&mut self, max_requests: usize) -> Option<SkippedRequest> {
+        let skipper = &mut self.overflow.as_mut()?.skipper;
+        let requests = skipper.take_requests(max_requests);
+        let next = match skipper.end() {
+            _ if requests > 0 => Some(SkippedRequest::Complete { requests }),
+            Some(SkipEnd::Close) => Some(SkippedRequest::Close),
+            Some(SkipEnd::Malformed(error)) => Some(SkippedRequest::Malformed(error)),
+            None => skipper.is_within_body().then_some(SkippedRequest::Partial),
+        };
+        if next.is_none() {
+            self.end_overflow();
+        }
+        next
+    }
+
+    /// Returns whether the first of the skipped requests has been received partially.
+    pub(super) fn is_within_skipped_body(&self) -> bool {
+        let skipper = self.overflow.as_ref().map(|overflow| &overflow.skipper);
+        skipper.is_some_and(|skipper| skipper.requests() == 0 && skipper.is_within_body())
+    }
+
+    /// Passes the bytes that are received from now on to the request parser again.
+    fn end_overflow(&mut self) {
+        let Some(overflow) = self.overflow.take() else { return };
+        self.receive_times = ReceiveTimes::default();
+        if let Some(since) = overflow.unread_since {
+            self.receive_times.suspend_reading(since);
+        }
+        let partial_head = overflow.skipper.into_partial_head();
+        self.parsed_bytes = partial_head.len() as u64;
+        let is_drained = overflow.unread_since.is_none();
+        self.receive_times.record_read(self.parsed_bytes, Instant::now(), is_drained);
+        self.requests.feed(&partial_head);
+    }
+
     /// Returns the maximum number of bytes that may be read now. Reserves memory to read far ahead of the current
     /// request, as long as memory is spare.
     fn read_limit(&mut self) -> usize {
@@ -162,43 +271,38 @@
     /// be parsed.
     pub(super) fn discard_requests(&mut self) {
         self.requests = RequestParser::default();
+        self.overflow = None;
         self.read_ahead = None;
     }
 
-    /// Waits until the client sends more bytes or disconnects. Returns `false` if the client has
-    /// disconnected.
-    pub(super) async fn wait_for_input(&mut self) -> bool {
-        if self.read_limit() > 0 {
-            return self.read().await.is_ok();
+    /// Waits until the client sends more bytes or disconnects, and returns what is known about it then.
+    pub(super) async fn wait_for_input(&mut self) -> ClientState {
+        if self.is_over_skip_allowance() {
+            return ClientState::Unknown;
         }
-        self.receive_times.suspend_reading(Instant::now());
-        self.wait_for_disconnect().await;
-        false
-    }
-
-    /// Waits until the client disconnects, without reading, because the receive buffer is full of pipelined
-    /// requests.
-    async fn wait_for_disconnect(&self) {
-        loop {
-            match self.stream.ready(Interest::READABLE).await {
-                Ok(ready) if !ready.is_read_closed() && !ready.is_error() => {}
-                _ => return,
-            }
-            // Unread bytes keep the socket readable, so waiting for readiness would return immediately.
-            sleep(DISCONNECT_CHECK_INTERVAL).await;
+        match self.read().await {
+            Ok(()) => ClientState::Connected,
+            Err(_) => ClientState::Disconnected,
         }
     }
 
-    /// Reads the available bytes and returns whether the client has already disconnected after its request.
-    /// Returns `false` without reading if the receive buffer is full.
-    pub(super) fn has_disconnected(&mut self) -> bool {
-        if self.read_limit() == 0 {
-            return false;
-        }
-        match self.try_read() {
-            Ok(count) => count == 0,
-            Err(error) => error.kind() != ErrorKind::WouldBlock && !is_out_of_buffers(&error),
+    /// Reads the available bytes and returns what is known about the client after its request.
+    pub(super) fn check_client(&mut self) -> ClientState {
+        for _ in 0..MAX_READS_PER_CHECK {
+            if self.is_over_skip_allowance() {
+                return ClientState::Unknown;
+            }
+            match self.try_read() {
+                Ok(0) => return ClientState::Disconnected,
+                Ok(_) if self.overflow.is_none() => return ClientState::Connected,
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock || is_out_of_buffers(&error) => {
+                    return ClientState::Connected;
+                }
+                Err(_) => return ClientState::Disconnected,
+            }
         }
+        ClientState::Connected
     }
 
     /// Writes a response, head and body with vectored writes. If `close` is true, the head announces that the
@@ -209,6 +313,23 @@
     pub(super) async fn write(&mut self, response: &Response, close: bool) -> Result<(), CloseReason> {
         let body = &response.body;
         let head = response_head(response.status, body.len(), response.retry_after, close);
+        self.write_head_and_body(&head, body).await
+    }
+
+    /// Writes the same response to `count` requests at once. The connection stays open.
+    ///
+    /// # Errors
+    /// As for [`ClientSocket::write`].
+    pub(super) async fn write_repeatedly(
+        &mut self,
+        response: &Response,
+        count: usize,
+    ) -> Result<(), CloseReason> {
+        let head = response_head(response.status, response.body.len(), response.retry_after, false);
+        self.write_head_and_body(&[&head[..], &response.body].concat().repeat(count), &[]).await
+    }
+
+    async fn write_head_and_body(&mut self, head: &[u8], body: &[u8]) -> Result<(), CloseReason> {
         let deadline =
             Instant::now() + self.context.services.live_config.get().transport.answer_write_timeout;
         let total = head.len() + body.len();
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -130,6 +130,8 @@
         requests => "requests",
         /// Requests rejected as malformed.
         bad_requests => "bad_requests",
+        /// Requests rejected because too many others were pipelined before them on their connection.
+        pipeline_rejected => "pipeline_refused",
         /// Failures to accept a client connection.
         accept_failed => "accept_failed",
         /// Connections to index servers that the node started to open.
--- a/crates/node/tests/client_disconnect.rs
+++ b/crates/node/tests/client_disconnect.rs
@@ -186,3 +186,24 @@
         drop(half_closed);
     }
 }
+
+/// Guards against parts that are sent for a client that has sent more requests than are stored, and gone.
+#[test]
+fn disconnect_is_detected_behind_more_requests_than_are_stored() {
+    for memory_mb in [8, 192] {
+        for kind in ALL_DISCONNECTS {
+            let deployment = start_deployment_with(&ServerBehavior::ServingAfter(ms(200)), |config| {
+                config["limits"] = serde_json::json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024});
+            });
+            let mut client = deployment.client();
+            let filler = format!("X-Filler: {}\r\nX-Qos", "x".repeat(3000));
+            let request = |_| query("steps", &[0, 1, 2], 2000).text.replacen("X-Qos", &filler, 1);
+            let requests: String = (0..400).map(request).collect();
+            client.write(requests.as_bytes());
+            let half_closed = disconnect(client, kind);
+            // The first step of the first query has been sent when the end of the connection is read.
+            assert_ended_after_parts(&deployment, 3);
+            drop(half_closed);
+        }
+    }
+}
--- a/crates/node/tests/common/flood.rs
+++ b/crates/node/tests/common/flood.rs
@@ -37,6 +37,14 @@
         Flood { stop, writer }
     }
 
+    /// Ends all floods.
+    pub fn stop_all(floods: Vec<Flood>) {
+        floods.iter().for_each(|flood| flood.stop.store(true, Ordering::Relaxed));
+        for flood in floods {
+            let _ = flood.stop();
+        }
+    }
+
     /// Ends the flood. Returns how long the connection was open, if it was closed by the front node.
     pub fn stop(self) -> Option<Duration> {
         self.stop.store(true, Ordering::Relaxed);
--- a/crates/node/tests/memory_limit.rs
+++ b/crates/node/tests/memory_limit.rs
@@ -7,14 +7,18 @@
 
 use deployment::start_deployment_with;
 use flood::Flood;
-use pinetrestle_standins::{query, ServerBehavior, SmallDeployment};
+use pinetrestle_standins::{query, Client, ServerBehavior, SmallDeployment};
 use serde_json::json;
-use std::net::TcpStream;
-use std::thread;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 /// Memory limit of the front node in megabytes.
 const MEMORY_MB: u64 = 48;
+/// Memory limit of a front node with little memory, in megabytes.
+const SMALL_MEMORY_MB: u64 = 16;
 /// Number of clients that send without a pause.
 const FLOODS: usize = 200;
 /// Time for which they send.
@@ -69,9 +73,46 @@
         let peak = deployment.front_node.peak_memory_kb();
         assert!(peak < MEMORY_MB * 1024, "{peak} kB, chunked: {is_chunked}");
         let stats = deployment.front_node.stats();
-        assert!(stats["connections"]["memory_waits"].as_u64() > Some(0), "{stats}");
-        for flood in floods {
-            let _ = flood.stop();
+        assert!(stats["connections"]["pipeline_refused"].as_u64() > Some(0), "{stats}");
+        Flood::stop_all(floods);
+    }
+}
+
+/// Sends long queries one after the other until `stop` is set.
+fn send_long_queries(address: SocketAddr, is_chunked: bool, stop: &AtomicBool) {
+    while !stop.load(Ordering::Relaxed) {
+        let mut client = Client::connect(address);
+        while !stop.load(Ordering::Relaxed) && client.try_write(&long_query(is_chunked)) {
+            if client.try_read().is_none() {
+                break;
+            }
         }
     }
 }
+
+/// Guards against clients whose long requests, sent one at a time, take the front node over its memory limit.
+#[test]
+fn long_requests_of_many_clients_stay_within_the_memory_limit() {
+    for is_chunked in [true, false] {
+        let deployment =
+            start_deployment_with(&ServerBehavior::ServingAfter(Duration::from_millis(100)), |config| {
+                config["limits"] = json!({"cores": 1.0, "memory_mb": SMALL_MEMORY_MB, "sockets": 384});
+                config["settings"]["permissions"]["most_held"] = 300.into();
+            });
+        let stop = Arc::new(AtomicBool::new(false));
+        let address = deployment.address();
+        let senders: Vec<JoinHandle<()>> = (0..FLOODS)
+            .map(|_| {
+                let stop = stop.clone();
+                thread::spawn(move || send_long_queries(address, is_chunked, &stop))
+            })
+            .collect();
+        assert_answers(&deployment);
+        let peak = deployment.front_node.peak_memory_kb();
+        assert!(peak < SMALL_MEMORY_MB * 1024, "{peak} kB, chunked: {is_chunked}");
+        let stats = deployment.front_node.stats();
+        assert!(stats["connections"]["memory_waits"].as_u64() > Some(0), "{stats}");
+        stop.store(true, Ordering::Relaxed);
+        senders.into_iter().for_each(|sender| sender.join().expect("the sender ends"));
+    }
+}
--- a/crates/protocol/src/head.rs
+++ b/crates/protocol/src/head.rs
@@ -174,6 +174,17 @@
         members.any(|member| member.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
     }
 
+    /// Returns whether the sender of a request allows the connection to persist after the response (RFC 9112
+    /// section 9.3).
+    pub fn keeps_alive(&self, bytes: &[u8]) -> bool {
+        let is_http_1_0 = self.start_line_word(bytes, StartLineWord::Third) == "HTTP/1.0";
+        if is_http_1_0 {
+            self.field_has_token(bytes, "connection", "keep-alive")
+        } else {
+            !self.field_has_token(bytes, "connection", "close")
+        }
+    }
+
     /// Returns how the end of the body is determined.
     ///
     /// # Errors
--- a/crates/protocol/src/requests.rs
+++ b/crates/protocol/src/requests/mod.rs
@@ -1,5 +1,9 @@
 //! The server side of an HTTP/1.1 connection ([RFC 9112](https://www.rfc-editor.org/rfc/rfc9112)): an
-//! incremental parser for requests, and an encoder for the heads of responses.
+//! incremental parser for requests, a parser that skips requests, and an encoder for the heads of responses.
+
+mod skipper;
+
+pub use skipper::{RequestSkipper, SkipEnd};
 
 use crate::chunks::ChunkedDecoder;
 use crate::head::{Framing, Head, HttpError, StartLineWord};
@@ -66,14 +70,9 @@
         std::str::from_utf8(value).map(Some).map_err(|_| AmbiguousField)
     }
 
-    /// Returns whether the client allows the connection to persist after the response (RFC 9112 section 9.3).
+    /// Returns whether the client allows the connection to persist after the response.
     pub fn keeps_alive(&self) -> bool {
-        let is_http_1_0 = self.head.start_line_word(self.bytes, StartLineWord::Third) == "HTTP/1.0";
-        if is_http_1_0 {
-            self.head.field_has_token(self.bytes, "connection", "keep-alive")
-        } else {
-            !self.head.field_has_token(self.bytes, "connection", "close")
-        }
+        self.head.keeps_alive(self.bytes)
     }
 }
 
@@ -188,7 +187,6 @@
             let Some(head) = Head::parse(&self.buffer, &mut self.scanned)? else {
                 return Ok(RequestProgress::Partial);
             };
-            check_request_line(&head, &self.buffer)?;
             self.begin_body(&head)?;
             self.head = Some(head);
         }
@@ -214,22 +212,13 @@
         Ok(())
     }
 
-    /// Prepares to read the body described by the head (RFC 9112 section 6).
+    /// Checks the head and prepares to read the body that it describes.
     fn begin_body(&mut self, head: &Head) -> Result<(), HttpError> {
         self.body = head.len..head.len;
-        match head.framing(&self.buffer)? {
+        match check_head(head, &self.buffer)? {
             Framing::Unspecified => {}
-            Framing::Length(length) if length > MAX_BODY_BYTES => return Err(HttpError::BodyTooLong),
             Framing::Length(length) => self.body.end += length,
-            Framing::Chunked => {
-                let version = head.start_line_word(&self.buffer, StartLineWord::Third);
-                if version != "HTTP/1.1" {
-                    // RFC 9112 section 6.1: the framing of an HTTP/1.0 message with a transfer coding is
-                    // faulty.
-                    return Err(HttpError::BadTransferCoding);
-                }
-                self.chunked = Some(ChunkedDecoder::default());
-            }
+            Framing::Chunked => self.chunked = Some(ChunkedDecoder::default()),
         }
         Ok(())
     }
@@ -277,6 +266,16 @@
         self.complete_len.map_or(0, |len| self.buffer.len() - len)
     }
 
+    /// Starts to skip the requests behind the stored ones. The skipper has to be passed all bytes that are received
+    /// from now on. A request at the end of the stored bytes that is not complete is skipped too. Does not affect
+    /// the current request, which has to be complete.
+    pub fn skip_further_requests(&mut self) -> RequestSkipper {
+        let stored_from = self.complete_len.unwrap_or(self.buffer.len());
+        let (skipper, dropped) = RequestSkipper::behind(&self.buffer[stored_from..]);
+        self.buffer.truncate(self.buffer.len() - dropped);
+        skipper
+    }
+
     /// Drops the body of the current request if it is complete, because the caller no longer needs it.
     pub fn release_body(&mut self) {
         if let Some(len) = &mut self.complete_len {
@@ -313,6 +312,23 @@
     }
 }
 
+/// Checks the head of a request. Returns how the end of the body is determined (RFC 9112 section 6).
+///
+/// # Errors
+/// [`HttpError`] if the request line or the framing is invalid, or if the body is too long.
+fn check_head(head: &Head, bytes: &[u8]) -> Result<Framing, HttpError> {
+    check_request_line(head, bytes)?;
+    let framing = head.framing(bytes)?;
+    match framing {
+        Framing::Length(length) if length > MAX_BODY_BYTES => Err(HttpError::BodyTooLong),
+        // RFC 9112 section 6.1: the framing of an HTTP/1.0 message with a transfer coding is faulty.
+        Framing::Chunked if head.start_line_word(bytes, StartLineWord::Third) != "HTTP/1.1" => {
+            Err(HttpError::BadTransferCoding)
+        }
+        _ => Ok(framing),
+    }
+}
+
 /// Checks the version and the method of a request line (RFC 9112 section 3).
 fn check_request_line(head: &Head, bytes: &[u8]) -> Result<(), HttpError> {
     match head.start_line_word(bytes, StartLineWord::Third) {
