Rejected queries no longer displace the ids of queries that were sent

Cause: an id was remembered before the check for capacity and whether or not anything was sent; 16,384 rejected queries, which take about a second, made the host forget all others, within the longest deadline.

Change: a query rejected for capacity claims no id, and one that ends before a part was sent releases it. A full generation (65,536 ids instead of 8,192) refuses further queries instead of forgetting.

--- a/crates/node/src/host/admission.rs
+++ b/crates/node/src/host/admission.rs
@@ -14,10 +14,10 @@
     ///
     /// # Errors
     /// [`AdmitError::DuplicateId`] if the wire id is in use or was used recently,
-    /// [`AdmitError::OverCapacity`] if the query would exceed the maximum number of open queries and parts.
+    /// [`AdmitError::OverCapacity`] if the query would exceed the maximum number of open queries and parts, or if
+    /// too many wire ids were used recently.
     pub fn admit(&mut self, now: Micros, request: QueryRequest) -> Result<Id, AdmitError> {
-        self.check_duplicate(now, &request)?;
-        self.check_capacity(&request)?;
+        self.claim_wire_id(now, &request)?;
         let expires_in = self.limit_to_shutdown_deadline(now, request.expires_in);
         let work_hint = total_work_hint(&request.parts);
         let (class, is_client_retry) = (request.class, request.is_client_retry);
@@ -63,31 +63,33 @@
         query.parts.push(id);
     }
 
-    /// Checks that the wire id of a query is not in use and claims it. A wire id stays claimed while its
-    /// query is open, and for at least the longest deadline of all classes after it was claimed: index
-    /// servers can't tell two queries with the same id apart.
-    fn check_duplicate(&mut self, now: Micros, request: &QueryRequest) -> Result<(), AdmitError> {
+    /// Checks that the wire id of a query is not in use, and claims it if the query does not exceed the maximum
+    /// number of open queries and parts.
+    ///
+    /// A wire id stays claimed while its query is open and, if a part was sent, for at least the longest deadline of
+    /// all classes after it was claimed: index servers can't tell two queries with the same id apart. A query that
+    /// is rejected claims nothing, or a client could displace the ids of others with rejected queries.
+    fn claim_wire_id(&mut self, now: Micros, request: &QueryRequest) -> Result<(), AdmitError> {
         let classes = &self.deployment.settings.classes;
         let longest_deadline = classes.iter().map(|class| class.deadline).max().unwrap_or_default();
-        if self.queries.claim_wire_id(now, longest_deadline, &request.wire_id) {
-            Ok(())
-        } else {
-            Err(AdmitError::DuplicateId)
+        if self.queries.is_wire_id_in_use(now, longest_deadline, &request.wire_id) {
+            return Err(AdmitError::DuplicateId);
         }
-    }
-
-    /// Checks that the query and its parts do not exceed the maximum number of open queries and parts.
-    fn check_capacity(&self, request: &QueryRequest) -> Result<(), AdmitError> {
-        let limits = &self.deployment.settings.limits;
-        let needed = self.queries.open_queries_and_parts() + 1 + request.parts.len();
-        if needed <= limits.max_in_flight as usize {
+        if self.has_capacity(request) && self.queries.claim_wire_id(&request.wire_id) {
             return Ok(());
         }
         self.update_query_counters(request.class, |queries| queries.over_capacity.increment());
+        let limits = &self.deployment.settings.limits;
         let retry_after = limits.send_retry_after.then_some(limits.max_retry_after.0);
         Err(AdmitError::OverCapacity { retry_after })
     }
 
+    /// Returns whether the query and its parts do not exceed the maximum number of open queries and parts.
+    fn has_capacity(&self, request: &QueryRequest) -> bool {
+        let needed = self.queries.open_queries_and_parts() + 1 + request.parts.len();
+        needed <= self.deployment.settings.limits.max_in_flight as usize
+    }
+
     /// Limits the time left for a query to the time until the shutdown deadline, if there is one.
     fn limit_to_shutdown_deadline(&self, now: Micros, expires_in: Micros) -> Micros {
         match self.shutdown_deadline {
--- a/crates/node/src/host/query_table.rs
+++ b/crates/node/src/host/query_table.rs
@@ -171,10 +171,20 @@
 }
 
 impl QueryTable {
-    /// Claims a wire id for a new query. Returns `false` if an open query uses it or if it was claimed within
-    /// the last `window`.
-    pub(super) fn claim_wire_id(&mut self, now: Micros, window: Micros, wire_id: &str) -> bool {
-        !self.by_wire_id.contains_key(wire_id) && self.recent_wire_ids.claim(now, window, wire_id)
+    /// Returns whether an open query uses a wire id or it was claimed within the last `window`.
+    pub(super) fn is_wire_id_in_use(&mut self, now: Micros, window: Micros, wire_id: &str) -> bool {
+        self.recent_wire_ids.expire(now, window);
+        self.by_wire_id.contains_key(wire_id) || self.recent_wire_ids.contains(wire_id)
+    }
+
+    /// Claims a wire id for a new query. Returns `false` if too many ids are claimed.
+    pub(super) fn claim_wire_id(&mut self, wire_id: &str) -> bool {
+        self.recent_wire_ids.claim(wire_id)
+    }
+
+    /// Ends the claim of a wire id, because no part of its query was sent.
+    pub(super) fn release_wire_id(&mut self, wire_id: &str) {
+        self.recent_wire_ids.release(wire_id);
     }
 
     /// Creates a query with the next sequence number, in its first step and without parts. Does not add it to
--- a/crates/node/src/host/recent_ids.rs
+++ b/crates/node/src/host/recent_ids.rs
@@ -4,13 +4,11 @@
 use std::collections::HashSet;
 use std::hash::{BuildHasher, RandomState};
 
-/// Maximum number of ids in a generation. If more ids are claimed within a window, ids are forgotten before
-/// the end of the window.
-const MAX_PER_GENERATION: usize = 8192;
+/// Maximum number of ids in a generation. No further id can be claimed until the end of the window.
+const MAX_PER_GENERATION: usize = 65_536;
 
 /// The recently claimed ids, stored as hashes in two generations. A new generation starts with the first
-/// claim after the end of a window, so an id is remembered for at least one and less than three windows,
-/// unless a generation has reached [`MAX_PER_GENERATION`].
+/// query after the end of a window, so an id is remembered for at least one and less than three windows.
 #[derive(Default)]
 pub(super) struct RecentIds {
     hasher: RandomState,
@@ -21,18 +19,38 @@
 }
 
 impl RecentIds {
-    /// Claims an id. Returns `false` if it was claimed within the last `window`.
-    pub(super) fn claim(&mut self, now: Micros, window: Micros, id: &str) -> bool {
+    /// Returns whether an id was claimed within the last window.
+    pub(super) fn contains(&self, id: &str) -> bool {
+        let hash = self.hasher.hash_one(id);
+        self.previous.contains(&hash) || self.current.contains(&hash)
+    }
+
+    /// Claims an id. Returns `false` if so many ids are claimed that this is not possible.
+    pub(super) fn claim(&mut self, id: &str) -> bool {
+        let has_room = self.current.len() < MAX_PER_GENERATION;
+        if has_room {
+            self.current.insert(self.hasher.hash_one(id));
+        }
+        has_room
+    }
+
+    /// Forgets the ids that were claimed too long ago. An id is remembered for at least `window`.
+    pub(super) fn expire(&mut self, now: Micros, window: Micros) {
         let age = now - self.current_since;
-        if age >= window || self.current.len() >= MAX_PER_GENERATION {
+        if age >= window {
             self.previous = std::mem::take(&mut self.current);
             if age >= window.mul_f64(2.0) {
                 self.previous.clear();
             }
             self.current_since = now;
         }
+    }
+
+    /// Forgets a claimed id, because nothing was sent for it.
+    pub(super) fn release(&mut self, id: &str) {
         let hash = self.hasher.hash_one(id);
-        !self.previous.contains(&hash) && self.current.insert(hash)
+        self.current.remove(&hash);
+        self.previous.remove(&hash);
     }
 
     /// Returns the number of remembered ids.
--- a/crates/node/src/host/replies.rs
+++ b/crates/node/src/host/replies.rs
@@ -85,14 +85,20 @@
     pub(super) fn remove_query(&mut self, id: Id) -> Option<OpenQuery> {
         let query = self.queries.remove(id)?;
         self.timers.cancel(query.timer);
+        let mut was_sent = false;
         for part_id in &query.parts {
-            let Some(part) = self.queries.remove_part(*part_id).filter(|part| part.in_flight > 0) else {
+            let Some(part) = self.queries.remove_part(*part_id) else { continue };
+            was_sent |= part.attempts > 0;
+            if part.in_flight == 0 {
                 continue;
-            };
+            }
             self.ended_parts.push(EndedPart { part: *part_id, attempts: part.attempts });
             let attempt_ids = self.attempts.ids_of_part(*part_id, part.attempts);
             self.commands.extend(attempt_ids.map(Command::Withdraw));
         }
+        if !was_sent {
+            self.queries.release_wire_id(&query.wire_id);
+        }
         self.update_query_counters(query.class, |queries| queries.open.decrement());
         Some(query)
     }
--- a/crates/node/tests/host/queries.rs
+++ b/crates/node/tests/host/queries.rs
@@ -128,6 +128,26 @@
     harness.assert_balanced();
 }
 
+/// Guards against an id that runs twice: its client leaves, the queries of another displace it, and it comes again.
+#[test]
+fn rejected_queries_do_not_displace_the_id_of_a_query_that_was_sent() {
+    let mut harness = Harness::new();
+    let first = harness.submit(CLASS_ALL, &[0]).expect("admitted");
+    assert_eq!(harness.in_flight.len(), 1, "a part of the query was sent");
+    harness.host.client_disconnected(first);
+    harness.run_batches();
+    for number in 0..40_000 {
+        // As many as are rejected for lack of capacity, and some that are admitted and end before a part is sent.
+        let shards: Vec<u32> = if number % 2 == 0 { (0..60).collect() } else { vec![0] };
+        if let Ok(id) = harness.submit_without_batch(CLASS_ALL, &shards) {
+            harness.host.client_disconnected(id);
+        }
+    }
+    harness.run_batches();
+    harness.submitted = 0;
+    assert_eq!(harness.submit(CLASS_ALL, &[0]), Err(AdmitError::DuplicateId));
+}
+
 #[test]
 fn a_wire_id_can_be_used_again_only_some_time_after_its_query_was_answered() {
     let mut harness = Harness::new();
