Near the limit of places, connections stalled in a request are evicted

What a peer holds in the middle of a message was kept until request_ms; a connection whose request had begun was never evicted.

Change: StalledPeers counts places too. If most connections are in the middle of a request, the one incomplete longest (from 100 ms on) gets a 503 and a close; else idle connections go first.

--- a/crates/node/src/clients/admission.rs
+++ b/crates/node/src/clients/admission.rs
@@ -1,14 +1,17 @@
 //! Admission of client connections: the limit on open connections, and the eviction of waiting connections
 //! when the number of open ones comes close to that limit.
 //!
-//! Only connections that wait for a request are evicted, in this order: connections that have sent no request
-//! yet, longest waiting first; then connections that are idle between two requests, longest waiting first. A
-//! connection with a request in progress is never evicted. An evicted connection stops counting toward the
+//! Only connections that wait for their client are evicted, in this order: connections that have sent no request
+//! yet, longest waiting first; then connections that are idle between two requests, longest waiting first; then
+//! connections that have stalled in the middle of a request ([`StalledPeers`]), longest incomplete first. If most
+//! connections are in the middle of a request, only these are evicted. A connection whose request is complete is
+//! never evicted. An evicted connection stops counting toward the
 //! limit immediately. Its socket may still perform a lingering close, which has a limit of its own
 //! ([`MAX_LINGERING_CLIENTS`]).
 
 use crate::config::{LiveConfig, MAX_LINGERING_CLIENTS};
 use crate::counters::Counters;
+use crate::stalled_peers::StalledPeers;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -83,6 +86,8 @@
     new_connections: Gauge,
     /// Connections that have sent no request yet and are older than [`NEW_CONNECTION_GRACE`]. Evicted first.
     unused: EvictionQueue,
+    /// Connections in the middle of a request. Evicted if they are the most, or if no other can be.
+    stalled: StalledPeers,
     /// Connections between two requests. Evicted if no connection is in `unused`.
     idle: EvictionQueue,
     /// Notified when a connection stops counting toward the limit.
@@ -99,6 +104,7 @@
             counters,
             new_connections: Gauge::default(),
             unused: EvictionQueue::default(),
+            stalled: StalledPeers::default(),
             idle: EvictionQueue::default(),
             connection_closed: Notify::new(),
             lingering: Cell::new(0),
@@ -127,11 +133,16 @@
         if self.unused.evict_oldest() {
             return;
         }
+        let mostly_stalled = self.stalled.len() as u64 * 2 >= limit;
+        if mostly_stalled {
+            self.stalled.revoke(Instant::now(), 1);
+            return;
+        }
         // In a flood of connections that send nothing, the new connections move to `unused` when their grace
         // period ends and are evicted from there. Idle connections have sent requests, so they are kept.
         let mostly_new = self.new_connections.get() * 2 >= limit;
-        if !mostly_new {
-            self.idle.evict_oldest();
+        if !mostly_new && !self.idle.evict_oldest() {
+            self.stalled.revoke(Instant::now(), 1);
         }
     }
 
@@ -166,6 +177,12 @@
         self.unused.wait_for_eviction().await;
     }
 
+    /// Waits until the calling connection, which waits for the rest of a request that it has received in part
+    /// since `since`, is evicted.
+    pub(super) async fn evicted_while_stalled(&self, since: Instant) {
+        self.stalled.revoked(since, 1).await;
+    }
+
     /// Waits until the calling connection, which is idle between two requests, is evicted.
     pub(super) async fn evicted_while_idle(&self) {
         self.idle.wait_for_eviction().await;
--- a/crates/node/src/clients/request_reader.rs
+++ b/crates/node/src/clients/request_reader.rs
@@ -137,12 +137,19 @@
         let response = match reason {
             CloseReason::RequestTimeout => Response::with_reason(408, "request_timeout"),
             CloseReason::NoRequestMemory => Response::with_reason(503, "no_request_memory"),
+            CloseReason::Evicted => Response::with_reason(503, "made_room"),
             CloseReason::Shutdown => Response::with_reason(503, "stopping"),
             _ => return Err(reason),
         };
         // The client may be slow to receive the response. Its request must not hold memory meanwhile.
         self.discard_requests();
-        self.socket.write(&response, true).await?;
+        let write = self.socket.write(&response, true);
+        if reason == CloseReason::Evicted {
+            // The place is needed now, so the response is only written if the socket accepts it at once.
+            before_deadline(Instant::now(), write).await;
+        } else {
+            write.await?;
+        }
         Err(reason)
     }
 
@@ -163,6 +170,7 @@
             read = before_deadline(deadline, self.socket.read()) => {
                 read.unwrap_or(Err(CloseReason::RequestTimeout))
             }
+            () = context.admission.evicted_while_stalled(held_since) => Err(CloseReason::Evicted),
             () = context.services.memory_budget.revoked(held_since, bytes), if bytes > 0 => {
                 Err(CloseReason::NoRequestMemory)
             }
--- a/crates/node/src/stalled_peers.rs
+++ b/crates/node/src/stalled_peers.rs
@@ -59,6 +59,11 @@
         revoked.notified().await;
     }
 
+    /// Returns the number of peers whose bytes are waited for.
+    pub(crate) fn len(&self) -> usize {
+        self.holders.borrow().len()
+    }
+
     /// Revokes at least `amount` from the peers that have stalled longest, as far as there are any whose
     /// message has been incomplete for [`STALL_GRACE`]. Returns the amount revoked. It is released
     /// when the tasks of these peers run.
--- a/crates/node/tests/stalled_requests.rs
+++ b/crates/node/tests/stalled_requests.rs
@@ -17,6 +17,8 @@
 const MEMORY_MB: u64 = 32;
 /// Number of file descriptors of the front node.
 const DESCRIPTORS: u64 = 1024;
+/// The smallest number of file descriptors that a front node is given in service.
+const FEW_DESCRIPTORS: u64 = 256;
 /// Number of clients that stall.
 const STALLING_CLIENTS: usize = 400;
 /// Time for which they do.
@@ -118,6 +120,22 @@
     assert_served_beside(&deployment, STALLING_CLIENTS, &StallingRequest::with_short_fields(12_000), "head");
 }
 
+/// Guards against clients that stop in half a head and keep every place, so that others wait unread.
+#[test]
+fn queries_are_served_while_stopped_requests_hold_every_place() {
+    let deployment = start_small_node(FEW_DESCRIPTORS);
+    let half_a_head =
+        StallingRequest { beginning: b"POST /all HTTP/1.1\r\nX-Qos: a".to_vec(), goes_on_slowly: false };
+    assert_served_beside(&deployment, STALLING_CLIENTS, &half_a_head, "half a head");
+    assert_served_beside(
+        &deployment,
+        STALLING_CLIENTS,
+        &StallingRequest::with_body(60_000, 50_000),
+        "end, few",
+    );
+    assert_served_beside(&deployment, STALLING_CLIENTS, &half_a_head.going_on_slowly(), "slow head");
+}
+
 /// Guards against a long query that waits for memory until after its client's time.
 #[test]
 fn a_long_query_without_memory_is_rejected_before_its_time_is_up() {
