Pipelined requests in pieces are served on at a shutdown, as others are

A head received in part behind skipped requests was dropped when the node was closing; it now goes to the request reader, which answers it until the deadline of the shutdown, or closes the idle connection. Found by reading; no test tells the two apart. pipelined_requests, client_disconnect and start_and_stop pass.

--- a/crates/node/src/clients/pipeline_rejection.rs
+++ b/crates/node/src/clients/pipeline_rejection.rs
@@ -5,7 +5,6 @@
 use super::socket::SkippedRequest;
 use crate::close_reason::CloseReason;
 use crate::deadline::before_deadline;
-use crate::shutdown::ShutdownPhase;
 use tokio::time::Instant;
 
 /// Maximum number of requests that are rejected with one write.
@@ -23,7 +22,6 @@
             Some(SkippedRequest::Partial) => self.skip_partial_request().await,
             Some(SkippedRequest::Malformed(error)) => self.reject_unparsable(error).await,
             Some(SkippedRequest::Close) => Err(CloseReason::ConnectionClose),
-            None if self.is_closing() => Err(CloseReason::Shutdown),
             None => Ok(()),
         }
     }
@@ -41,10 +39,6 @@
         Response::unavailable("pipeline_full", None)
     }
 
-    fn is_closing(&self) -> bool {
-        *self.phases.borrow() >= ShutdownPhase::Closing
-    }
-
     /// Reads the rest of a skipped request.
     async fn skip_partial_request(&mut self) -> Result<(), CloseReason> {
         let request_timeout = self.context.services.live_config.get().transport.request_timeout;
