--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -31,6 +31,7 @@
 //! | [`state_machine`] | the replicated state and the log entries that change it |
 //! | [`raft_storage`] | Raft's log, hard state and snapshot, stored by `pinetrestle-store` |
 //! | [`wire`], [`status`], [`transport`] | the wire format, the status report, the sockets of a member |
+//! | `inbound_connections` | the limits on accepted connections |
 //! | [`local_services`] | the services that run beside a member in its process |
 //! | [`front_node_process`] | starts, stops and polls the front node's process |
 //! | [`relay`] | the endpoint list that the front node watches |
@@ -49,6 +50,7 @@
 pub mod error;
 pub mod front_node_process;
 pub mod http_client;
+mod inbound_connections;
 pub mod local_services;
 pub mod logging;
 pub mod member;
--- a/crates/member/src/runtime.rs
+++ b/crates/member/src/runtime.rs
@@ -67,7 +67,8 @@
 ) -> Result<(), MemberError> {
     let listener = pinetrestle_system_calls::listen(listen).await?;
     info!(log, "listening"; "addr" => %listen);
-    let mut inbound = transport::start_accepting(listener, log.clone());
+    let mut inbound =
+        transport::start_accepting(listener, peers.iter().map(|(peer, _)| *peer).collect(), log.clone());
     let id = config.id;
     let mut member = open(config, &mut inbound, &log).await?;
     let outbound = Outbound {
--- a/crates/member/src/transport.rs
+++ b/crates/member/src/transport.rs
@@ -4,10 +4,13 @@
 //! Each outbound connection and the listener have bounded queues. A frame for which a queue has no room is
 //! dropped: Raft retransmits the messages that it needs. A request for which there is no room is rejected.
 
+use crate::inbound_connections::{ConnectionEntry, InboundConnections};
 use crate::wire::{self, FramedStream, Hello, Request, Response};
 use futures_util::{SinkExt, StreamExt};
 use slog::{info, warn, Logger};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
@@ -58,11 +61,13 @@
 }
 
 /// Starts the task that accepts connections on `listener`, and returns the queues of what they receive.
-pub fn start_accepting(listener: TcpListener, log: Logger) -> Inbound {
+/// `known_peers` are the ids of the other members.
+pub fn start_accepting(listener: TcpListener, known_peers: BTreeSet<u64>, log: Logger) -> Inbound {
     let (message_sender, messages) = mpsc::channel(INBOUND_QUEUE_CAPACITY);
     let (request_sender, requests) = mpsc::channel(REQUEST_QUEUE_CAPACITY);
     let senders = InboundSenders { messages: message_sender, requests: request_sender };
-    tokio::task::spawn_local(accept(listener, senders, log));
+    let connections = InboundConnections::new(known_peers);
+    tokio::task::spawn_local(accept(listener, connections, senders, log));
     Inbound { messages, requests }
 }
 
@@ -74,11 +79,16 @@
     sender
 }
 
-async fn accept(listener: TcpListener, senders: InboundSenders, log: Logger) {
+async fn accept(
+    listener: TcpListener,
+    connections: Rc<InboundConnections>,
+    senders: InboundSenders,
+    log: Logger,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(stream, senders.clone(), log.clone()));
+                connections.spawn(|entry| serve(stream, entry, senders.clone(), log.clone()));
             }
             Err(error) => {
                 warn!(log, "accept failed"; "error" => %error);
@@ -89,14 +99,19 @@
 }
 
 /// Serves one accepted connection: receives a peer's messages until it closes, or responds to one request.
-async fn serve(stream: TcpStream, senders: InboundSenders, log: Logger) {
-    let mut framed = wire::framed(stream);
+async fn serve(stream: TcpStream, entry: ConnectionEntry, senders: InboundSenders, log: Logger) {
+    let mut framed = wire::framed_untrusted(stream);
     let hello = match timeout(HELLO_TIMEOUT, framed.next()).await {
         Ok(Some(Ok(frame))) => wire::decode::<Hello>(&frame),
         _ => None,
     };
     match hello {
-        Some(Hello::Peer(peer)) => receive_messages(&mut framed, peer, &senders.messages, &log).await,
+        Some(Hello::Peer(peer)) => {
+            if entry.identify(peer) {
+                framed.codec_mut().set_max_frame_length(wire::MAX_FRAME_BYTES);
+            }
+            receive_messages(&mut framed, peer, &senders.messages, &log).await;
+        }
         Some(Hello::Command(request)) => respond(&mut framed, request, &senders.requests).await,
         Some(Hello::Actions(_)) | None => info!(log, "connection ended"; "reason" => "no_hello"),
     }
@@ -132,7 +147,7 @@
     } else {
         receiver.await.unwrap_or(Response::Rejected("the member dropped the request".into()))
     };
-    let _ = framed.send(Bytes::from(wire::encode(&response))).await;
+    let _ = timeout(WRITE_TIMEOUT, framed.send(Bytes::from(wire::encode(&response)))).await;
 }
 
 /// Keeps one outbound connection open, and reconnects with exponential backoff. While there is no connection,
--- a/crates/member/src/wire.rs
+++ b/crates/member/src/wire.rs
@@ -12,6 +12,10 @@
 /// The maximum size of a frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// The maximum size of the first frame of a connection, and of any frame of a peer that is not a known member, in
+/// bytes.
+pub const MAX_UNTRUSTED_FRAME_BYTES: usize = 256 << 10;
+
 /// A TCP connection as a stream and sink of frames.
 pub type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -21,6 +25,14 @@
     Framed::new(stream, LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec())
 }
 
+/// Wraps an accepted connection as [`framed`] does. Its peer is not known yet, so its frames are limited to
+/// [`MAX_UNTRUSTED_FRAME_BYTES`].
+pub fn framed_untrusted(stream: TcpStream) -> FramedStream {
+    let mut framed = framed(stream);
+    framed.codec_mut().set_max_frame_length(MAX_UNTRUSTED_FRAME_BYTES);
+    framed
+}
+
 /// The first frame of a connection, which says who opened it and which frames follow.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Hello {
--- a/crates/member/tests/one_member.rs
+++ b/crates/member/tests/one_member.rs
@@ -174,3 +174,46 @@
         let _ = flood.join().expect("the flood ends");
     }
 }
+
+/// Opens a connection, sends `hello` and then the beginning of a frame of 4 MiB. Returns the open connection.
+fn stop_within_a_frame(addr: SocketAddr, hello: &Hello) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(addr)?;
+    stream.set_write_timeout(Some(Duration::from_millis(100)))?;
+    let hello = wire::encode(hello);
+    stream.write_all(&(hello.len() as u32).to_be_bytes())?;
+    stream.write_all(&hello)?;
+    stream.write_all(&(wire::MAX_FRAME_BYTES as u32).to_be_bytes())?;
+    let _ = stream.write_all(&vec![0; wire::MAX_FRAME_BYTES / 2]);
+    Ok(stream)
+}
+
+/// Guards against peers that stop in the middle of long frames, and against connections that say nothing, which
+/// take memory and descriptors without an end.
+#[tokio::test]
+async fn member_responds_within_bounded_memory_while_peers_stop_within_frames() {
+    let dir = tempfile::tempdir().expect("can create a temporary directory");
+    let held = reserve_ports(26_000 + u64::from(std::process::id()) % 1000, 1);
+    let addr = held[0].1;
+    drop(held);
+    let mut member = start(dir.path(), addr, "");
+    wait_until!("it leads", member, is_leader(addr).await);
+    let stopped = std::thread::spawn(move || {
+        let silent: Vec<_> = (0..200).map(|_| TcpStream::connect(addr)).collect();
+        let within_frame: Vec<_> =
+            (0..100).map(|peer| stop_within_a_frame(addr, &Hello::Peer(1000 + peer))).collect();
+        std::thread::sleep(Duration::from_secs(1));
+        (silent, within_frame)
+    });
+    while !stopped.is_finished() {
+        let response = request_status(addr).await;
+        assert!(matches!(response, Some(Response::Status(status)) if status.leader == 1));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let descriptors =
+        std::fs::read_dir(format!("/proc/{}/fd", member.0.id())).expect("its descriptors").count();
+    assert!(descriptors < 120, "{descriptors} descriptors while 300 connections are held");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", member.0.id())).expect("its status");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its peak memory");
+    let peak: u64 = peak.trim().trim_end_matches(" kB").parse().expect("a number");
+    assert!(peak < 64 * 1024, "{peak} kB");
+}
