Test of full places: a kept connection may be closed between two requests

The protocol page allows a close between requests, and its clients send once more on a new connection; near the limit of places idle connections are evicted. The test's client didn't.

It does now, and the test is as strict: it asserts that the log gives eviction (made_room) as the reason of such a close, and that no request that was read was closed without an answer (closed_unanswered is 0).

--- a/crates/node/tests/stalled_requests.rs
+++ b/crates/node/tests/stalled_requests.rs
@@ -7,7 +7,7 @@
 mod stalling_clients;
 
 use deployment::start_deployment_with;
-use pinetrestle_standins::{eventually, log_field, query, Client, ServerBehavior, SmallDeployment};
+use pinetrestle_standins::{eventually, log_field, query, Answer, Client, ServerBehavior, SmallDeployment};
 use serde_json::json;
 use stalling_clients::{StallingClients, StallingRequest};
 use std::thread;
@@ -60,7 +60,7 @@
         for text in
             [query("all", &[0, 1, 2], QUERY_MS).text, long_query(&[0, 1, 2], LONG_TEXT_BYTES, QUERY_MS)]
         {
-            longest = longest.max(assert_served(&mut kept, &text));
+            longest = longest.max(assert_served_on_kept(deployment, &mut kept, &text));
             longest = longest
                 .max(assert_served(&mut deployment.client(), &text.replace("Trace-Id: 0", "Trace-Id: f")));
         }
@@ -69,9 +69,34 @@
     longest
 }
 
+/// Sends a query on a kept connection. The front node may close it between two requests; the client then sends the
+/// query once more on a new connection. Asserts that it was closed for no other reason.
+fn assert_served_on_kept(deployment: &SmallDeployment, kept: &mut Client, text: &str) -> Duration {
+    let sent_at = Instant::now();
+    let answer = if kept.try_write(text.as_bytes()) { kept.try_read() } else { None };
+    if let Some(answer) = answer {
+        return assert_in_time(sent_at, &answer);
+    }
+    let address = kept.stream.get_ref().local_addr().expect("local address").to_string();
+    *kept = deployment.client();
+    let served_in = assert_served(kept, text);
+    eventually("the close of the kept connection is logged", || {
+        let lines = deployment.front_node.log_lines();
+        let closed = lines.iter().find(|line| log_field(line, "peer").as_ref() == Some(&address));
+        let reason = closed.map(|line| log_field(line, "reason").expect("a reason"));
+        assert!(reason.is_none() || reason.as_deref() == Some("made_room"), "{closed:?}");
+        reason.is_some()
+    });
+    served_in
+}
+
 fn assert_served(client: &mut Client, text: &str) -> Duration {
     let sent_at = Instant::now();
     let answer = client.send(text);
+    assert_in_time(sent_at, &answer)
+}
+
+fn assert_in_time(sent_at: Instant, answer: &Answer) -> Duration {
     assert_eq!(answer.status, 200, "{answer:?}");
     assert!(sent_at.elapsed() < Duration::from_millis(QUERY_MS), "{:?}", sent_at.elapsed());
     sent_at.elapsed()
@@ -85,6 +110,7 @@
     let peak = deployment.front_node.peak_memory_kb();
     println!("{name}: longest {longest:?}, {closed} closed, peak memory {peak} kB");
     assert!(peak < MEMORY_MB * 1024, "{peak} kB");
+    assert_eq!(deployment.front_node.stats()["violations"]["closed_unanswered"], 0);
 }
 
 /// Guards against clients that announce long bodies, stop, and keep the memory that long queries of others need.
