--- a/crates/node/tests/flooding_peers.rs
+++ b/crates/node/tests/flooding_peers.rs
@@ -78,6 +78,46 @@
     }
 }
 
+/// Returns unsound requests whose id, path, class, tenant and field names occur nowhere else.
+fn requests_under_new_names(number: u64) -> Vec<u8> {
+    let request = |name: u64| {
+        let path = if name.is_multiple_of(2) { "all".to_owned() } else { format!("c{name}") };
+        format!(
+            "POST /{path} HTTP/1.1\r\nHost: app.svc\r\nX-{name}: 1\r\nX-Trace-Id: n{name}\r\nX-Qos: {path}\r\n\
+             X-Customer: t{name}\r\nX-Expires-In-Ms: 800\r\nContent-Length: 1\r\n\r\n{{"
+        )
+    };
+    (0..100).flat_map(|index| request(number * 100 + index).into_bytes()).collect()
+}
+
+/// Guards against a client whose unsound requests under ever new names delay others, or take memory without an end.
+#[test]
+fn a_client_that_sends_unsound_requests_under_new_names_does_not_delay_others() {
+    let deployment = start_deployment_with(&ServerBehavior::Serving, |config| {
+        config["limits"] = json!({"cores": 1.0, "memory_mb": SMALL_MEMORY_MB, "sockets": 256});
+    });
+    let address = deployment.address();
+    let end = Instant::now() + FLOOD_TIME;
+    let client = thread::spawn(move || {
+        let mut connections = 0_u64;
+        while Instant::now() < end {
+            connections += 1;
+            let mut batch = connections * 1_000_000;
+            let next = move || {
+                batch += 1;
+                requests_under_new_names(batch)
+            };
+            // The front node closes the connection after some unsound requests.
+            let _ = Flood::start_with(connect(address), next).writer.join();
+        }
+        connections
+    });
+    assert_serves_in_time(&deployment);
+    assert!(client.join().expect("the client ends") > 1);
+    let peak = deployment.front_node.peak_memory_kb();
+    assert!(peak < SMALL_MEMORY_MB * 1024, "{peak} kB");
+}
+
 /// Guards against an index server whose copies of an answer are read without an end, so that no client is
 /// served.
 #[test]
