A fleet member closes no connection for a new one within its first 200 ms

Change: a connection is closed for another only from 200 ms on; up to 256 are held in a burst, then accepting pauses.

--- a/crates/member/src/transport.rs
+++ b/crates/member/src/transport.rs
@@ -26,6 +26,8 @@
 
 /// The delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The delay before the limit on accepted connections is checked again while it is reached.
+const ROOM_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// The timeout for the first frame of an accepted connection, its [`Hello`].
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 /// The timeout for connecting to a peer or the task sink.
@@ -86,6 +88,10 @@
     log: Logger,
 ) {
     loop {
+        if !connections.make_room() {
+            sleep(ROOM_RETRY_DELAY).await;
+            continue;
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
                 connections.spawn(|entry| serve(stream, entry, senders.clone(), log.clone()));
