--- a/crates/benchlink/src/decode.rs
+++ b/crates/benchlink/src/decode.rs
@@ -2,7 +2,7 @@
 
 use crate::error::WireError;
 use crate::instance::{Instance, ServerNumbers};
-use pinetrestle::interface::{Event, Lifecycle, ListedReplica, Outcome};
+use pinetrestle::interface::{Event, Lifecycle, ListedReplica, Outcome, WatchFailure};
 use pinetrestle_settings::fields::{count, count_u32, flag, integer, micros, number, optional, text};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -50,7 +50,7 @@
 fn endpoint_list(servers: &mut ServerNumbers, line: &Value, tables: &Tables) -> Result<Event, WireError> {
     let mode = text(line, "mode")?;
     if !matches!(mode, MODE_CHANGES | MODE_COMPLETE | MODE_CACHED) {
-        return Ok(Event::WatchFailed);
+        return Ok(Event::WatchFailed(WatchFailure::Unknown));
     }
     let table = count(line, "ref")?;
     let entries = tables.get(&table).ok_or(WireError::UnknownTable(table))?;
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -17,11 +17,13 @@
 
 use crate::flight_recorder::RecorderSettings;
 use file::{DEFAULT_SOCKET_LIMIT, FILE_VARIABLE};
+use pinetrestle::interface::{ListDelivery, Micros};
 use pinetrestle_protocol::endpoint_list::{self, ListUpdate};
 use pinetrestle_settings::fields::{count, field, optional, text, FieldError, Parsed};
 use pinetrestle_settings::Deployment;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Minimum of `limits.sockets`. A front node can't work with fewer file descriptors.
 const MIN_SOCKET_LIMIT: u64 = 64;
@@ -98,6 +100,7 @@
         let socket_limit = read_socket_limit(file)?;
         let transport = file.get("transport").unwrap_or(&Value::Null);
         let transport = Transport::from_json(transport, &deployment, socket_limit);
+        let transport = transport.map_err(|error| error.within("transport"))?;
         Ok(Config {
             name: text(file, "name")?.to_owned(),
             listen: read_address(file, "listen")?,
@@ -105,8 +108,8 @@
             seed: read_seed(file, "seed")?,
             initial_list,
             memory_limit: read_memory_limit(file)?,
-            transport: transport.map_err(|error| error.within("transport"))?,
-            deployment,
+            deployment: with_watched_list(deployment, transport.watch_retry_delay),
+            transport,
             shards,
             names: names.clone(),
             recorder: RecorderSettings::default(),
@@ -154,6 +157,16 @@
     }
 }
 
+/// Makes the decision core request a list that discovery pushes: on sockets it arrives on a watch, which the
+/// front node has to open, and again whenever it ends.
+fn with_watched_list(mut deployment: Deployment, retry_delay: Duration) -> Deployment {
+    if deployment.settings.list_delivery == ListDelivery::Pushed {
+        let max_backoff = Micros(retry_delay.as_micros() as i64);
+        deployment.settings.list_delivery = ListDelivery::Watched { max_backoff };
+    }
+    deployment
+}
+
 fn read_deployment(raw_settings: &Value, names: &DeploymentNames) -> Parsed<Deployment> {
     let deployment = names.setting_keys.read(raw_settings)?;
     check_classes(&deployment)?;
--- a/crates/node/src/config/transport.rs
+++ b/crates/node/src/config/transport.rs
@@ -115,7 +115,8 @@
     pub discovery_answer_timeout: Duration,
     /// Time without a complete line after which a watch is considered lost (`watch_silence_ms`).
     pub watch_silence_timeout: Duration,
-    /// Delay before a lost watch is reopened if discovery pushes the endpoint list (`watch_again_ms`).
+    /// Longest mean delay before a watch is opened again if discovery pushes the endpoint list
+    /// (`watch_again_ms`). Taken at the start.
     pub watch_retry_delay: Duration,
     /// Time after SIGTERM during which new client connections are still accepted (`hand_over_ms`).
     pub handover_period: Duration,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,10 +1,10 @@
 //! Watches on the endpoint list at the discovery service.
 //!
 //! A watch is an HTTP request on a connection of its own. Discovery answers with a stream of events: the
-//! complete endpoint list or changes to it, and keep-alives while nothing changes. [`WatchSupervisor`]
-//! decides when a watch is opened and which of several watches is the active one; [`DiscoveryTask`]
-//! executes its decisions. Each watch has a task of its own, which forwards the received events to the
-//! discovery task. If the endpoint list is polled, the decision core decides when a watch is requested.
+//! complete endpoint list or changes to it, and keep-alives while nothing changes. The decision core decides
+//! when a watch is requested. [`WatchSupervisor`] decides when a second one is opened beside it and which of
+//! several watches is the active one; [`DiscoveryTask`] executes its decisions. Each watch has a task of its
+//! own, which forwards the received events to the discovery task.
 
 use crate::close_reason::CloseReason;
 use crate::config::LiveConfig;
@@ -13,7 +13,7 @@
 use crate::messages::Message;
 use pinetrestle_protocol::endpoint_list::{encode_watch_request, ListUpdate};
 use pinetrestle_protocol::watch::{WatchDecoder, WatchEvent};
-use pinetrestle_protocol::watch_supervisor::{WatchAction, WatchSupervisor, WatchTimeouts};
+use pinetrestle_protocol::watch_supervisor::{WatchAction, WatchEnd, WatchSupervisor};
 use pinetrestle_system_calls::{connect, is_transient_local_error, read, write_all, TaskBudget};
 use slog::{info, Logger};
 use std::collections::HashMap;
@@ -27,6 +27,9 @@
 
 /// Capacity of the channel from the watches to the discovery task. Watches wait while it is full.
 const REPORT_CAPACITY: usize = 16;
+/// Maximum time to establish the connection of a watch. Long enough for one retransmission of the first packet,
+/// which is sent after 1 s.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1250);
 /// Size of the read buffer of a watch, in bytes.
 const READ_SIZE: usize = 16 * 1024;
 
@@ -50,8 +53,27 @@
 struct WatchReport {
     /// Id of the watch.
     watch_id: u64,
-    /// An event received by the watch, or the reason why its connection was closed.
-    event: Result<WatchEvent, CloseReason>,
+    /// An event received by the watch, or its end.
+    event: Result<WatchEvent, EndedWatch>,
+}
+
+/// The end of a watch.
+struct EndedWatch {
+    /// Why the connection was closed.
+    reason: CloseReason,
+    /// Time since the latest event, or since the start of the watch if there was none.
+    silent_for: Duration,
+}
+
+impl EndedWatch {
+    fn end(&self) -> WatchEnd {
+        match self.reason {
+            CloseReason::WatchSilent | CloseReason::NoResponse => WatchEnd::Silent(self.silent_for),
+            CloseReason::ConnectTimeout => WatchEnd::Unreachable,
+            CloseReason::NoLocalSocket => WatchEnd::LocalFailure,
+            _ => WatchEnd::ByPeer,
+        }
+    }
 }
 
 /// Handles of the running watch tasks, by watch id. Dropping a handle stops the task.
@@ -70,16 +92,16 @@
             let actions = tokio::select! {
                 request = requests.recv() => match request {
                     None => return,
-                    Some(()) => self.watches.request_watch(start.elapsed(), self.timeouts()),
+                    Some(()) => self.watches.request_watch(start.elapsed(), self.answer_timeout()),
                 },
                 () = self.address_changed.notified() => {
                     let address = self.live_config.get().discovery;
-                    self.watches.change_address(start.elapsed(), address, self.timeouts())
+                    self.watches.change_address(start.elapsed(), address, self.answer_timeout())
                 }
                 () = sleep_until(deadline), if next_deadline.is_some() => {
-                    self.watches.on_deadline(start.elapsed(), self.timeouts())
+                    self.watches.on_deadline(start.elapsed(), self.answer_timeout())
                 }
-                Some(report) = reports.recv() => self.on_report(report, start.elapsed(), &mut running),
+                Some(report) = reports.recv() => self.on_report(report, &mut running),
             };
             for action in actions {
                 self.execute(action, &mut running, &report_sender).await;
@@ -87,18 +109,13 @@
         }
     }
 
-    fn timeouts(&self) -> WatchTimeouts {
-        let transport = &self.live_config.get().transport;
-        WatchTimeouts {
-            answer_timeout: transport.discovery_answer_timeout,
-            retry_delay: transport.watch_retry_delay,
-        }
+    fn answer_timeout(&self) -> Duration {
+        self.live_config.get().transport.discovery_answer_timeout
     }
 
     fn on_report(
         &mut self,
         report: WatchReport,
-        now: Duration,
         running: &mut RunningWatches,
     ) -> Vec<WatchAction<SocketAddr>> {
         match report.event {
@@ -106,10 +123,10 @@
                 self.count(&event);
                 self.watches.on_event(report.watch_id, event)
             }
-            Err(reason) => {
-                self.counters.closes.increment("discovery", reason.code());
+            Err(ended) => {
+                self.counters.closes.increment("discovery", ended.reason.code());
                 running.remove(&report.watch_id);
-                self.watches.on_watch_ended(now, report.watch_id, self.timeouts())
+                self.watches.on_watch_ended(report.watch_id, ended.end())
             }
         }
     }
@@ -134,17 +151,25 @@
                 running.insert(watch_id, self.open_watch(watch_id, address, after, report_sender.clone()));
             }
             WatchAction::Close(watch_id) => drop(running.remove(&watch_id)),
-            // Sending fails only if the event loop has ended, when messages are no longer needed.
-            WatchAction::Deliver(update) => {
-                drop(self.to_event_loop.send(Message::EndpointUpdate(update)).await)
+            WatchAction::Deliver(update) => self.notify(Message::EndpointUpdate(update)).await,
+            WatchAction::ReportLost(end) => {
+                self.counters.discovery.watches_lost.increment();
+                self.notify(Message::WatchLost(end)).await;
             }
-            WatchAction::ReportLost => {
+            WatchAction::ReportFailed(end) => {
                 self.counters.discovery.watches_lost.increment();
-                let _ = self.to_event_loop.send(Message::WatchFailed).await;
+                self.notify(Message::WatchRequestFailed(end)).await;
             }
+            WatchAction::ReportAddressChanging => self.notify(Message::DiscoveryChanging).await,
+            WatchAction::ReportAddressChanged => self.notify(Message::DiscoveryChanged).await,
         }
     }
 
+    async fn notify(&self, message: Message) {
+        // Sending fails only if the event loop has ended, when messages are no longer needed.
+        let _ = self.to_event_loop.send(message).await;
+    }
+
     /// Starts the task of a watch that requests the changes after version `after`. Returns the handle of
     /// the task.
     fn open_watch(
@@ -157,8 +182,16 @@
         self.counters.discovery.watches.increment();
         let (handle, handle_dropped) = oneshot::channel();
         let live_config = self.live_config.clone();
-        let connection =
-            WatchConnection { live_config, address, after, watch_id, report_sender, events: 0, bytes_in: 0 };
+        let connection = WatchConnection {
+            live_config,
+            address,
+            after,
+            watch_id,
+            report_sender,
+            events: 0,
+            last_event_at: Instant::now(),
+            bytes_in: 0,
+        };
         spawn_local(connection.run(handle_dropped, self.log.clone()));
         handle
     }
@@ -174,6 +207,8 @@
     report_sender: mpsc::Sender<WatchReport>,
     /// Number of events received, logged as `lines`.
     events: u64,
+    /// When the latest event was received; the start of the watch if there is none.
+    last_event_at: Instant,
     /// Number of bytes received.
     bytes_in: u64,
 }
@@ -189,10 +224,10 @@
         info!(log, "connection ended"; "side" => "discovery", "peer" => %self.address,
             "age_ms" => started_at.elapsed().as_millis() as u64, "lines" => self.events, "in" => self.bytes_in,
             "after" => self.after, "reason" => %reason);
-        self.report(Err(reason)).await;
+        self.report(Err(EndedWatch { reason, silent_for: self.last_event_at.elapsed() })).await;
     }
 
-    async fn report(&self, event: Result<WatchEvent, CloseReason>) {
+    async fn report(&self, event: Result<WatchEvent, EndedWatch>) {
         // Sending fails only if the discovery task has ended, when reports are no longer needed.
         let _ = self.report_sender.send(WatchReport { watch_id: self.watch_id, event }).await;
     }
@@ -212,14 +247,14 @@
     async fn watch(&mut self) -> CloseReason {
         let started_at = Instant::now();
         match self.send_request(started_at).await {
-            Ok(stream) => self.receive(&stream, started_at).await,
+            Ok(stream) => self.receive(&stream).await,
             Err(reason) => reason,
         }
     }
 
     /// Connects to discovery and sends the watch request. Returns the connection.
     async fn send_request(&self, started_at: Instant) -> Result<TcpStream, CloseReason> {
-        let deadline = started_at + self.event_timeout();
+        let deadline = started_at + self.event_timeout().min(CONNECT_TIMEOUT);
         let stream = match before_deadline(deadline, connect(self.address, deadline)).await {
             None => return Err(CloseReason::ConnectTimeout),
             Some(Err(error)) if is_transient_local_error(&error) => return Err(CloseReason::NoLocalSocket),
@@ -235,15 +270,14 @@
     }
 
     /// Receives events until the connection ends. Returns the close reason.
-    async fn receive(&mut self, stream: &TcpStream, started_at: Instant) -> CloseReason {
-        // Only a complete event extends the deadline. Otherwise a peer that sends single bytes could keep
-        // the connection open without delivering an update.
-        let mut last_event_at = started_at;
+    async fn receive(&mut self, stream: &TcpStream) -> CloseReason {
         let mut decoder = WatchDecoder::new(self.live_config.get().names.wire.clone());
         let mut buffer = vec![0; READ_SIZE];
         let budget = TaskBudget::default();
         loop {
-            let deadline = last_event_at + self.event_timeout();
+            // Only a complete event extends the deadline. Otherwise a peer that sends single bytes could keep
+            // the connection open without delivering an update.
+            let deadline = self.last_event_at + self.event_timeout();
             let count = match before_deadline(deadline, read(stream, &mut buffer, &budget)).await {
                 None if self.events > 0 => return CloseReason::WatchSilent,
                 None => return CloseReason::NoResponse,
@@ -257,7 +291,7 @@
                 match decoder.next_event() {
                     Ok(Some(event)) => {
                         self.events += 1;
-                        last_event_at = Instant::now();
+                        self.last_event_at = Instant::now();
                         self.report(Ok(event)).await;
                     }
                     Ok(None) => break,
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -156,7 +156,7 @@
         for command in self.host.process_batch(now) {
             self.execute(command);
         }
-        self.ready.set(!self.stopping && self.host.can_serve());
+        self.ready.set(!self.stopping && self.host.is_ready());
     }
 
     /// Passes a message to the host and executes the commands that the host returns without running the
@@ -187,7 +187,10 @@
                 self.report_unsent(now, attempt_ids);
             }
             Message::EndpointUpdate(update) => self.host.endpoint_update(now, &update, false),
-            Message::WatchFailed => self.host.endpoint_watch_failed(),
+            Message::WatchLost(end) => self.host.endpoint_watch_lost(end),
+            Message::WatchRequestFailed(end) => self.host.endpoint_watch_request_failed(end),
+            Message::DiscoveryChanging => self.host.discovery_changing(),
+            Message::DiscoveryChanged => self.host.discovery_changed(),
             Message::Shutdown { deadline } => {
                 self.stopping = true;
                 self.host.set_shutdown_deadline(self.micros_at(deadline));
@@ -230,10 +233,14 @@
                 self.host.connection_lost(now, attempt_id, written);
             }
         }
-        // The write of these calls had not started, so they are sent again if the replica is still in
-        // service.
+        // The write of these calls had not started, so they are sent again if the replica is still in service
+        // and the endpoint list is current enough.
         for parts in closed.unsent_calls {
-            self.send(replica, parts, now);
+            if self.host.list_allows_sends(now) {
+                self.send(replica, parts, now);
+            } else {
+                self.report_unsent(now, parts.iter().map(|part| part.attempt_id).collect());
+            }
         }
     }
 
--- a/crates/node/src/host/inputs.rs
+++ b/crates/node/src/host/inputs.rs
@@ -5,10 +5,11 @@
 use super::timers::Timer;
 use super::{Command, Host};
 use crate::counters::{AttemptCounters, Counter};
-use pinetrestle::interface::{Event, Id, Micros, Outcome};
+use pinetrestle::interface::{Event, Id, Micros, Outcome, WatchFailure};
 use pinetrestle_protocol::connection::{AttemptAnswer, AttemptId};
 use pinetrestle_protocol::endpoint_list::ListUpdate;
 use pinetrestle_protocol::frames::PartOutcome;
+use pinetrestle_protocol::watch_supervisor::WatchEnd;
 
 impl Host {
     /// Handles the disconnect of a query's client. Does nothing if the query has ended.
@@ -61,10 +62,33 @@
         });
     }
 
-    /// Handles a failed poll of the endpoint list, or the loss of the watch on it.
-    pub fn endpoint_watch_failed(&mut self) {
+    /// Handles the loss of the watch on the endpoint list.
+    pub fn endpoint_watch_lost(&mut self, end: WatchEnd) {
         self.endpoints.watch_lost();
-        self.events.push(Event::WatchFailed);
+        self.events.push(Event::WatchFailed(match end {
+            WatchEnd::Silent(duration) => WatchFailure::Silent(Micros(duration.as_micros() as i64)),
+            WatchEnd::ByPeer | WatchEnd::Unreachable | WatchEnd::LocalFailure => WatchFailure::Ended,
+        }));
+    }
+
+    /// Handles the failure of a request for a watch on the endpoint list.
+    pub fn endpoint_watch_request_failed(&mut self, end: WatchEnd) {
+        self.endpoints.watch_lost();
+        self.events.push(Event::WatchFailed(match end {
+            WatchEnd::ByPeer => WatchFailure::Refused,
+            WatchEnd::Unreachable => WatchFailure::Unreachable,
+            WatchEnd::Silent(_) | WatchEnd::LocalFailure => WatchFailure::Unanswered,
+        }));
+    }
+
+    /// Handles a change of the configured discovery service, at which a watch is being opened.
+    pub fn discovery_changing(&mut self) {
+        self.events.push(Event::DiscoveryChanging);
+    }
+
+    /// Handles the arrival of the new discovery service's list, after the list itself.
+    pub fn discovery_changed(&mut self) {
+        self.events.push(Event::DiscoveryChanged);
     }
 
     /// Begins the graceful shutdown: limits the deadlines of all queries, open and future ones, to
--- a/crates/node/src/host/mod.rs
+++ b/crates/node/src/host/mod.rs
@@ -133,9 +133,15 @@
         self.endpoints.started_at(name)
     }
 
-    /// Returns whether at least one replica is in service.
-    pub fn can_serve(&self) -> bool {
-        self.endpoints.can_serve()
+    /// Returns whether at least one replica is in service and the decision core takes the endpoint list for
+    /// current enough to start serving.
+    pub fn is_ready(&self) -> bool {
+        self.endpoints.can_serve() && self.core.is_ready()
+    }
+
+    /// Returns whether the endpoint list is current enough to send an attempt at `now`.
+    pub fn list_allows_sends(&self, now: Micros) -> bool {
+        self.core.list_allows_sends(now)
     }
 
     /// Returns the sizes of all tables. They are bounded by the load and the size of the fleet; a size that
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -5,6 +5,7 @@
 use pinetrestle::interface::ReplicaId;
 use pinetrestle_protocol::connection::{AttemptAnswer, AttemptId};
 use pinetrestle_protocol::endpoint_list::ListUpdate;
+use pinetrestle_protocol::watch_supervisor::WatchEnd;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -41,8 +42,14 @@
     },
     /// Discovery has sent an endpoint list or changes to it.
     EndpointUpdate(ListUpdate),
-    /// Polling the endpoint list failed, or the watch on it was lost.
-    WatchFailed,
+    /// The watch on the endpoint list has ended.
+    WatchLost(WatchEnd),
+    /// A request for a watch on the endpoint list has ended without an answer.
+    WatchRequestFailed(WatchEnd),
+    /// The configuration names another discovery service, at which a watch is being opened.
+    DiscoveryChanging,
+    /// The discovery service that the configuration names has delivered its list.
+    DiscoveryChanged,
     /// The front node is shutting down gracefully.
     Shutdown {
         /// Instant by which the final answers of all queries have to be decided.
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -296,6 +296,5 @@
 
 /// Creates the supervisor of the watches on the discovery service. No watch is open yet.
 fn new_watches(config: &Config) -> WatchSupervisor<SocketAddr> {
-    let pushed = !config.deployment.settings.poll_endpoint_list;
-    WatchSupervisor::new(pushed, config.discovery, config.initial_list.version)
+    WatchSupervisor::new(config.discovery, config.initial_list.version)
 }
--- a/crates/node/tests/host/endpoints.rs
+++ b/crates/node/tests/host/endpoints.rs
@@ -4,6 +4,7 @@
 use crate::harness::{entry, Harness, MS};
 use pinetrestle::interface::ReplicaId;
 use pinetrestle_protocol::endpoint_list::{EndpointEntry, Status};
+use pinetrestle_protocol::watch_supervisor::WatchEnd;
 
 #[test]
 fn an_update_changes_an_endpoint_and_a_complete_list_removes_unlisted_ones() {
@@ -24,9 +25,9 @@
     // The entry of a removed server may have no address; the last one is kept for attempts in flight.
     harness.update_endpoints(false, vec![entry("s3", "", Status::Removed, 0)]);
     assert_eq!(harness.host.endpoint(3).expect("s3").address, "127.0.0.1:7003");
-    assert!(harness.host.can_serve());
+    assert!(harness.host.is_ready());
     harness.update_endpoints(true, vec![entry("s0", "127.0.0.1:9999", Status::Draining, 77)]);
-    assert!(!harness.host.can_serve(), "the only listed server is draining");
+    assert!(!harness.host.is_ready(), "the only listed server is draining");
 }
 
 #[test]
@@ -35,7 +36,7 @@
     harness.advance(1000 * MS);
     let before = harness.watches;
     assert!(before >= 1, "a watch is requested at the start");
-    harness.host.endpoint_watch_failed();
+    harness.host.endpoint_watch_lost(WatchEnd::ByPeer);
     harness.run_batches();
     harness.advance(2000 * MS);
     assert!(harness.watches > before);
--- a/crates/node/tests/host/start_times.rs
+++ b/crates/node/tests/host/start_times.rs
@@ -5,6 +5,7 @@
 use pinetrestle_node::counters::Counters;
 use pinetrestle_node::host::Host;
 use pinetrestle_protocol::endpoint_list::{EndpointEntry, ListUpdate, Status};
+use pinetrestle_protocol::watch_supervisor::WatchEnd;
 use std::rc::Rc;
 
 /// Microseconds per second.
@@ -90,7 +91,7 @@
     let mut harness = StartTimeHarness::new();
     harness.update(1.0, true, &[("first", 0)]);
     harness.update(10.0, false, &[("second", 10)]);
-    harness.host.endpoint_watch_failed();
+    harness.host.endpoint_watch_lost(WatchEnd::ByPeer);
     harness.update(50.0, false, &[("third", 20)]);
     assert_eq!(harness.started_second("third"), Some(20));
 }
--- a/crates/node/tests/list_change_latency/main.rs
+++ b/crates/node/tests/list_change_latency/main.rs
@@ -9,7 +9,7 @@
 
 use pinetrestle_protocol::endpoint_list::ListUpdate;
 use pinetrestle_protocol::watch::WatchEvent;
-use pinetrestle_protocol::watch_supervisor::{WatchAction, WatchSupervisor, WatchTimeouts};
+use pinetrestle_protocol::watch_supervisor::{WatchAction, WatchEnd, WatchSupervisor};
 use simulation::{CallOutcome, RandomNumbers, Simulation, CHANGE_DEADLINE, MS};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -159,12 +159,11 @@
 
 #[test]
 fn polls_faster_than_answers_cancel_no_call_that_would_be_answered() {
-    let mut watches = WatchSupervisor::new(false, 0, 0);
-    let timeouts =
-        WatchTimeouts { answer_timeout: Duration::from_secs(3), retry_delay: Duration::from_millis(500) };
+    let mut watches = WatchSupervisor::new(0, 0);
+    let answer_timeout = Duration::from_secs(3);
     let mut opened = Vec::new();
     for poll in 0..20 {
-        for action in watches.request_watch(Duration::from_millis(100 * poll), timeouts) {
+        for action in watches.request_watch(Duration::from_millis(100 * poll), answer_timeout) {
             match action {
                 WatchAction::Open { watch_id, .. } => opened.push(watch_id),
                 other => panic!("{other:?}"),
@@ -175,13 +174,8 @@
     let update = ListUpdate { version: 5, complete: true, entries: Vec::new() };
     let actions = watches.on_event(1, WatchEvent::Update(update.clone()));
     assert_eq!(actions, [WatchAction::Close(2), WatchAction::Deliver(update)]);
-    let closed_at = Duration::from_secs(2);
-    assert_eq!(
-        watches.on_watch_ended(closed_at, 2, timeouts),
-        [],
-        "the end of a closed watch is not reported"
-    );
-    assert_eq!(watches.on_watch_ended(closed_at, 1, timeouts), [WatchAction::ReportLost]);
+    assert_eq!(watches.on_watch_ended(2, WatchEnd::ByPeer), [], "the end of a closed watch is not reported");
+    assert_eq!(watches.on_watch_ended(1, WatchEnd::ByPeer), [WatchAction::ReportLost(WatchEnd::ByPeer)]);
 }
 
 #[test]
--- a/crates/node/tests/list_change_latency/simulation.rs
+++ b/crates/node/tests/list_change_latency/simulation.rs
@@ -5,12 +5,12 @@
 //! arrive.
 
 use crate::common::config_with;
-use pinetrestle::interface::Micros;
+use pinetrestle::interface::{ListDelivery, Micros};
 use pinetrestle_node::counters::Counters;
 use pinetrestle_node::host::{Command, Host};
 use pinetrestle_protocol::endpoint_list::{EndpointEntry, ListUpdate, Status};
 use pinetrestle_protocol::watch::WatchEvent;
-use pinetrestle_protocol::watch_supervisor::{WatchAction, WatchSupervisor, WatchTimeouts};
+use pinetrestle_protocol::watch_supervisor::{WatchAction, WatchEnd, WatchSupervisor};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -137,9 +137,7 @@
     pub version: u64,
     /// When the front node first acted on each list version or a later one.
     pub acted_on: BTreeMap<u64, u64>,
-    /// The timeouts of the watches.
-    pub timeouts: WatchTimeouts,
-    answer_timeout: u64,
+    answer_timeout: Duration,
     silence_timeout: u64,
 }
 
@@ -155,7 +153,8 @@
             settings["discovery"] = json!(if pushed { "push" } else { "ask" });
             settings["fleet_size"] = json!(fleet_size);
         });
-        assert_eq!(config.deployment.settings.poll_endpoint_list, !pushed);
+        let is_polled = config.deployment.settings.list_delivery == ListDelivery::Polled;
+        assert_eq!(is_polled, !pushed);
         let counters = Rc::new(Counters::new(&config.deployment.classes));
         let deployment = Rc::new(config.deployment.clone());
         let mut host = Host::new(deployment, counters, seed, Micros(0));
@@ -163,17 +162,13 @@
         let transport = &config.transport;
         Simulation {
             host,
-            watches: WatchSupervisor::new(pushed, 0, 0),
+            watches: WatchSupervisor::new(0, 0),
             calls: BTreeMap::new(),
             call_times: Vec::new(),
             now: 0,
             version: 1,
             acted_on: BTreeMap::new(),
-            timeouts: WatchTimeouts {
-                answer_timeout: transport.discovery_answer_timeout,
-                retry_delay: transport.watch_retry_delay,
-            },
-            answer_timeout: transport.discovery_answer_timeout.as_micros() as u64,
+            answer_timeout: transport.discovery_answer_timeout,
             silence_timeout: transport.watch_silence_timeout.as_micros() as u64,
         }
     }
@@ -193,7 +188,8 @@
 
     /// Changes the address of discovery, as a reload of the configuration does.
     pub fn change_discovery_address(&mut self, address: u8, choose_outcome: &mut ChooseOutcome<'_>) {
-        let actions = self.watches.change_address(Duration::from_micros(self.now), address, self.timeouts);
+        let actions =
+            self.watches.change_address(Duration::from_micros(self.now), address, self.answer_timeout);
         self.execute(actions, choose_outcome);
     }
 
@@ -215,7 +211,10 @@
                     }
                     self.host.endpoint_update(Micros(self.now as i64), &update, false);
                 }
-                WatchAction::ReportLost => self.host.endpoint_watch_failed(),
+                WatchAction::ReportLost(end) => self.host.endpoint_watch_lost(end),
+                WatchAction::ReportFailed(end) => self.host.endpoint_watch_request_failed(end),
+                WatchAction::ReportAddressChanging => self.host.discovery_changing(),
+                WatchAction::ReportAddressChanged => self.host.discovery_changed(),
             }
         }
     }
@@ -224,7 +223,7 @@
     pub fn step(&mut self, choose_outcome: &mut ChooseOutcome<'_>) {
         self.now += MS;
         let now = Duration::from_micros(self.now);
-        let mut actions = self.watches.on_deadline(now, self.timeouts);
+        let mut actions = self.watches.on_deadline(now, self.answer_timeout);
         for watch_id in self.calls.keys().copied().collect::<Vec<_>>() {
             actions.extend(self.step_call(watch_id));
         }
@@ -234,7 +233,7 @@
         {
             for command in self.host.process_batch(Micros(self.now as i64)) {
                 if command == Command::WatchEndpoints {
-                    let requested = self.watches.request_watch(now, self.timeouts);
+                    let requested = self.watches.request_watch(now, self.answer_timeout);
                     self.execute(requested, choose_outcome);
                 }
             }
@@ -245,18 +244,22 @@
     /// Processes one call at the current time: its timeout, its close by discovery, or a line that it
     /// receives. Returns the resulting actions of the watch supervisor.
     fn step_call(&mut self, watch_id: u64) -> Vec<WatchAction<u8>> {
-        let now = Duration::from_micros(self.now);
         let list = self.current_list();
         let Some(call) = self.calls.get_mut(&watch_id) else { return Vec::new() };
         let age = self.now - call.started_at;
-        let deadline = match call.last_line_at {
-            Some(last_line_at) => last_line_at + self.silence_timeout,
-            None => call.started_at + self.answer_timeout,
+        let last_line_at = call.last_line_at.unwrap_or(call.started_at);
+        let timeout = match call.last_line_at {
+            Some(_) => self.silence_timeout,
+            None => self.answer_timeout.as_micros() as u64,
         };
+        let silent_for = self.now - last_line_at;
         let is_receiving = call.outcome.is_receiving(age);
-        if call.outcome.is_closed(age) || self.now >= deadline && !is_receiving {
+        if call.outcome.is_closed(age) {
+            self.calls.remove(&watch_id);
+            self.watches.on_watch_ended(watch_id, WatchEnd::ByPeer)
+        } else if silent_for >= timeout && !is_receiving {
             self.calls.remove(&watch_id);
-            self.watches.on_watch_ended(now, watch_id, self.timeouts)
+            self.watches.on_watch_ended(watch_id, WatchEnd::Silent(Duration::from_micros(silent_for)))
         } else if is_receiving && call.received_version != self.version {
             call.received_version = self.version;
             call.last_line_at = Some(self.now);
--- a/crates/protocol/src/watch_supervisor.rs
+++ b/crates/protocol/src/watch_supervisor.rs
@@ -19,17 +19,19 @@
 
 /// Maximum number of pending watches: one and its hedge.
 const MAX_PENDING: usize = 2;
-/// Maximum backoff before another attempt to open a watch at a new address, as a multiple of the retry delay.
-const MAX_BACKOFF_FACTOR: u32 = 4;
 
-/// Timeouts of watches, from the current configuration.
-#[derive(Clone, Copy, Debug)]
-pub struct WatchTimeouts {
-    /// Time within which discovery has to begin its answer. A hedge is opened after three quarters of this
-    /// time.
-    pub answer_timeout: Duration,
-    /// Delay before a lost watch is opened again, unless a watch is requested earlier.
-    pub retry_delay: Duration,
+/// Why a watch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchEnd {
+    /// Discovery closed or reset the connection, or refused it, or sent an error.
+    ByPeer,
+    /// No complete event arrived on the open connection for this long. If there was none before, discovery
+    /// did not answer in time.
+    Silent(Duration),
+    /// The connection was not established in time.
+    Unreachable,
+    /// The connection could not be opened for a reason local to this machine.
+    LocalFailure,
 }
 
 /// An action that the caller has to execute.
@@ -48,8 +50,16 @@
     Close(u64),
     /// Pass this update to the component that maintains the endpoint list.
     Deliver(ListUpdate),
-    /// Report that no watch is active or pending.
-    ReportLost,
+    /// Report that the active watch has ended.
+    ReportLost(WatchEnd),
+    /// Report that no watch is pending any more: all of them have ended without an answer, the last one for
+    /// this reason.
+    ReportFailed(WatchEnd),
+    /// Report that the configured address is another one, at which a watch is being opened.
+    ReportAddressChanging,
+    /// Report that a watch at the configured address has replaced the one at the previous address, and has
+    /// delivered its list.
+    ReportAddressChanged,
 }
 
 /// A watch that has been opened.
@@ -60,8 +70,6 @@
 
 /// State of all watches of one front node. `A` is the type of a discovery address.
 pub struct WatchSupervisor<A> {
-    /// Whether a lost watch is opened again without a request.
-    restarts_lost_watch: bool,
     /// Address of the discovery service in the configuration.
     configured_address: A,
     /// Address that delivered the known version. Versions from different addresses are not comparable.
@@ -76,21 +84,18 @@
     active_has_had_event: bool,
     /// Id of the watch opened last.
     last_watch_id: u64,
-    /// Time at which the next watch is to be opened.
-    next_open_at: Option<Duration>,
-    /// Number of consecutive failures to open a watch at a new address, capped at [`MAX_BACKOFF_FACTOR`].
-    failed_opens: u32,
+    /// Time at which a hedge is to be opened.
+    hedge_at: Option<Duration>,
+    /// Whether no watch at the configured address has been active since the address changed.
+    address_changing: bool,
 }
 
 impl<A: Copy + PartialEq> WatchSupervisor<A> {
     /// Creates a supervisor without watches.
     ///
-    /// `version` is the version of the endpoint list known from the discovery service at `address`. If
-    /// `restarts_lost_watch` is true, the supervisor opens the first watch, and each lost one again, without
-    /// a request.
-    pub fn new(restarts_lost_watch: bool, address: A, version: u64) -> WatchSupervisor<A> {
+    /// `version` is the version of the endpoint list known from the discovery service at `address`.
+    pub fn new(address: A, version: u64) -> WatchSupervisor<A> {
         WatchSupervisor {
-            restarts_lost_watch,
             configured_address: address,
             source_address: address,
             version,
@@ -98,13 +103,14 @@
             pending: Vec::new(),
             active_has_had_event: false,
             last_watch_id: 0,
-            next_open_at: restarts_lost_watch.then_some(Duration::ZERO),
-            failed_opens: 0,
+            hedge_at: None,
+            address_changing: false,
         }
     }
 
     /// Opens a watch, unless the maximum number of watches is pending.
-    pub fn request_watch(&mut self, now: Duration, timeouts: WatchTimeouts) -> Vec<WatchAction<A>> {
+    /// Discovery has to begin its answer within `answer_timeout`.
+    pub fn request_watch(&mut self, now: Duration, answer_timeout: Duration) -> Vec<WatchAction<A>> {
         if self.pending.len() >= MAX_PENDING {
             return Vec::new();
         }
@@ -113,7 +119,7 @@
         let address = self.configured_address;
         self.pending.push(OpenedWatch { watch_id, address });
         let may_hedge = self.pending.len() < MAX_PENDING;
-        self.next_open_at = may_hedge.then(|| now + timeouts.answer_timeout * 3 / 4);
+        self.hedge_at = may_hedge.then(|| now + answer_timeout * 3 / 4);
         let after = if address == self.source_address { self.version } else { 0 };
         vec![WatchAction::Open { watch_id, address, after }]
     }
@@ -124,29 +130,29 @@
         &mut self,
         now: Duration,
         address: A,
-        timeouts: WatchTimeouts,
+        answer_timeout: Duration,
     ) -> Vec<WatchAction<A>> {
         self.configured_address = address;
-        self.failed_opens = 0;
-        let mut actions: Vec<WatchAction<A>> =
-            self.pending.drain(..).map(|watch| WatchAction::Close(watch.watch_id)).collect();
-        actions.extend(self.request_watch(now, timeouts));
+        self.address_changing = true;
+        let mut actions = vec![WatchAction::ReportAddressChanging];
+        actions.extend(self.pending.drain(..).map(|watch| WatchAction::Close(watch.watch_id)));
+        actions.extend(self.request_watch(now, answer_timeout));
         actions
     }
 
     /// Returns the time at which the caller has to call [`on_deadline`](WatchSupervisor::on_deadline), if
     /// any.
     pub fn next_deadline(&self) -> Option<Duration> {
-        self.next_open_at
+        self.hedge_at
     }
 
-    /// Opens the watch that is due, if any: a hedge, a retry, or the replacement of a lost watch.
-    pub fn on_deadline(&mut self, now: Duration, timeouts: WatchTimeouts) -> Vec<WatchAction<A>> {
-        if self.next_open_at.is_none_or(|due| due > now) {
+    /// Opens the hedge if it is due.
+    pub fn on_deadline(&mut self, now: Duration, answer_timeout: Duration) -> Vec<WatchAction<A>> {
+        if self.hedge_at.is_none_or(|due| due > now) {
             return Vec::new();
         }
-        self.next_open_at = None;
-        self.request_watch(now, timeouts)
+        self.hedge_at = None;
+        self.request_watch(now, answer_timeout)
     }
 
     /// Handles an event of a watch.
@@ -155,10 +161,11 @@
         let Some(active) = self.active.as_ref().filter(|watch| watch.watch_id == watch_id) else {
             return actions;
         };
+        let address = active.address;
         let is_first_event = !std::mem::replace(&mut self.active_has_had_event, true);
         match event {
             WatchEvent::Update(update) => {
-                self.source_address = active.address;
+                self.source_address = address;
                 self.version = update.version;
                 actions.push(WatchAction::Deliver(update));
             }
@@ -169,6 +176,9 @@
             }
             WatchEvent::KeepAlive => {}
         }
+        if address == self.configured_address && std::mem::take(&mut self.address_changing) {
+            actions.push(WatchAction::ReportAddressChanged);
+        }
         actions
     }
 
@@ -187,43 +197,23 @@
         let closed = self.pending.drain(..).chain(replaced);
         let actions = closed.map(|watch| WatchAction::Close(watch.watch_id)).collect();
         self.active_has_had_event = false;
-        self.next_open_at = None;
-        self.failed_opens = 0;
+        self.hedge_at = None;
         actions
     }
 
     /// Handles the end of a watch. Ignores watches that were closed by a [`WatchAction::Close`].
-    pub fn on_watch_ended(
-        &mut self,
-        now: Duration,
-        watch_id: u64,
-        timeouts: WatchTimeouts,
-    ) -> Vec<WatchAction<A>> {
-        let had_pending = !self.pending.is_empty();
-        self.pending.retain(|watch| watch.watch_id != watch_id);
-        let was_active = self.active.take_if(|watch| watch.watch_id == watch_id).is_some();
-        if !self.pending.is_empty() {
-            // Another watch is pending. If it ends as well, that call of this function handles the loss.
-            return Vec::new();
-        }
-        if !was_active && !had_pending {
-            // This watch was replaced and closed before.
-            return Vec::new();
+    pub fn on_watch_ended(&mut self, watch_id: u64, end: WatchEnd) -> Vec<WatchAction<A>> {
+        if self.active.take_if(|watch| watch.watch_id == watch_id).is_some() {
+            return vec![WatchAction::ReportLost(end)];
         }
-        if self.active.as_ref().is_some_and(|watch| watch.address != self.configured_address) {
-            // The watch at the old address is still active, so the caller does not request one at the new
-            // address.
-            self.schedule_retry(now, timeouts);
+        let pending_before = self.pending.len();
+        self.pending.retain(|watch| watch.watch_id != watch_id);
+        let last_has_ended = pending_before > 0 && self.pending.is_empty();
+        if !last_has_ended {
+            // Another watch is pending, or this watch was replaced and closed before.
             return Vec::new();
         }
-        self.next_open_at = self.restarts_lost_watch.then(|| now + timeouts.retry_delay);
-        vec![WatchAction::ReportLost]
-    }
-
-    /// Schedules the next attempt to open a watch at the new address, with exponential backoff.
-    fn schedule_retry(&mut self, now: Duration, timeouts: WatchTimeouts) {
-        let factor = (1 << self.failed_opens).min(MAX_BACKOFF_FACTOR);
-        self.next_open_at = Some(now + timeouts.retry_delay * factor);
-        self.failed_opens = (self.failed_opens + 1).min(MAX_BACKOFF_FACTOR);
+        self.hedge_at = None;
+        vec![WatchAction::ReportFailed(end)]
     }
 }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -4,7 +4,9 @@
     count, count_u32, field, flag, list, micros, number, optional, text, FieldError, Parsed, Problem,
 };
 use crate::{Deployment, Transport};
-use pinetrestle::interface::{Class, Idempotency, Limits, Micros, RetryBudget, Rules, Settings, Tenant};
+use pinetrestle::interface::{
+    Class, Idempotency, Limits, ListDelivery, Micros, RetryBudget, Rules, Settings, Tenant,
+};
 use serde_json::Value;
 
 /// Value of `effect` for a class whose parts are idempotent and may be retried freely.
@@ -107,6 +109,7 @@
         overload_multiple: number(rules, "tip_multiple")?,
         overload_window: micros(rules, "fall")?,
         max_list_staleness: optional(rules, "must_ask_in", micros)?.unwrap_or_default(),
+        drain_grace: optional(rules, "drain_grace", micros)?.unwrap_or_default(),
         retry_budget,
     })
 }
@@ -144,11 +147,16 @@
     }
 }
 
+fn read_list_delivery(options: &Value) -> Parsed<ListDelivery> {
+    let is_pushed = text(options, "discovery")? == DISCOVERY_PUSH;
+    Ok(if is_pushed { ListDelivery::Pushed } else { ListDelivery::Polled })
+}
+
 /// Reads a settings object with canonical keys into a [`Deployment`].
 ///
 /// Times are integers in microseconds. Absent optional keys get neutral defaults: no retry budget, no cost
-/// of wasted work, and the full priority weight for queries over their tenant's quota. The endpoint list is
-/// polled unless `discovery` is `push`.
+/// of wasted work, no drain grace, and the full priority weight for queries over their tenant's quota. The
+/// endpoint list is polled unless `discovery` is `push`.
 ///
 /// # Errors
 ///
@@ -175,7 +183,7 @@
             .unwrap_or(DEFAULT_OVER_QUOTA_WEIGHT_SHARE),
         wasted_work_cost: read_optional_in(options, "fees", "waste", number)?.unwrap_or(DEFAULT_NUMBER),
         clients_mark_retries: marks_retries.unwrap_or(false),
-        poll_endpoint_list: text(options, "discovery")? != DISCOVERY_PUSH,
+        list_delivery: read_list_delivery(options)?,
         cell_count,
         cells_per_shard,
         tick: Micros(count(options, "quantum")? as i64),
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -1,7 +1,7 @@
 //! Tests of reading settings with canonical keys and with the aliases of a deployment, and of errors, which
 //! contain the full path of the key.
 
-use pinetrestle::interface::{Idempotency, Micros};
+use pinetrestle::interface::{Idempotency, ListDelivery, Micros};
 use pinetrestle_settings::fields::{count, field, optional, text, Expected, FieldError, Parsed, Problem};
 use pinetrestle_settings::{Deployment, KeyAliases};
 use pinetrestle_standins::with_setting_aliases;
@@ -36,7 +36,9 @@
     let deployment = pinetrestle_settings::read(&options()).expect("valid settings");
     let set = &deployment.settings;
     assert_eq!((set.fleet_size, set.cell_count, set.cells_per_shard, set.limits.max_batch), (3, 6, 2, 16));
-    assert!(!set.poll_endpoint_list && set.clients_mark_retries && !set.limits.allow_hedging);
+    assert!(
+        set.list_delivery == ListDelivery::Pushed && set.clients_mark_retries && !set.limits.allow_hedging
+    );
     assert_eq!(set.tick, Micros(5000));
     assert_eq!(
         (set.classes[0].idempotency, set.classes[0].idempotency_window),
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -146,6 +146,15 @@
         state.index += 1;
     }
 
+    /// Replaces the entries of the list, and closes the connections of all established watches instead of
+    /// sending them the change.
+    pub fn set_entries_and_close_watches(&self, entries: Vec<Value>) {
+        let mut state = self.state();
+        state.entries = entries;
+        state.index += 1;
+        state.close_calls += 1;
+    }
+
     /// Closes the connections of all established watches.
     pub fn close_watches(&self) {
         self.state().close_calls += 1;
--- a/src/front_node/dispatch.rs
+++ b/src/front_node/dispatch.rs
@@ -201,7 +201,9 @@
         let class_step = query.class_step();
         let timeout = self.attempt_timeout(query);
         let class = &self.settings.classes[query.class];
-        let send_within = self.idempotency_time_left(class, &query.parts[part_index], class_step);
+        let idempotency_time = self.idempotency_time_left(class, &query.parts[part_index], class_step);
+        let list_time = self.list_usable_until().map(|until| until - self.now).filter(|left| *left < timeout);
+        let send_within = idempotency_time.into_iter().chain(list_time).min();
         let Some(call_number) = self.add_to_call(replica, class_step) else { return };
         let now = self.now;
         let part = &mut query.parts[part_index];
--- a/src/front_node/endpoint_list.rs
+++ b/src/front_node/endpoint_list.rs
@@ -1,11 +1,7 @@
-//! The endpoint list: applies lists and watch events, and keeps the watch on the list running.
+//! The endpoint list: applies lists and watch events.
 
-use super::tuning::{
-    INITIAL_POLL_BACKOFF, LIST_STALENESS_LIMIT, MAX_POLL_BACKOFF_SHARE, POLL_BACKOFF_GROWTH,
-    POLL_TIMEOUT_SHARE,
-};
 use super::FrontNode;
-use crate::interface::{Action, Lifecycle, ListedReplica, Micros, ReplicaId};
+use crate::interface::{Lifecycle, ListedReplica, Micros, ReplicaId};
 use crate::state::Replica;
 
 impl FrontNode {
@@ -28,50 +24,6 @@
         self.apply_entries(entries);
     }
 
-    /// Schedules a new request after the watch has failed.
-    ///
-    /// The backoff grows with each failure and is randomized to spread the requests of many front nodes. It
-    /// is bounded so that three requests fit into the time after which the front node is expected to know a
-    /// change of the list.
-    pub(super) fn on_watch_failed(&mut self) {
-        let watch = &mut self.endpoint_watch;
-        watch.requested_at = None;
-        // Keeps the idle timer running, so that the list is requested even if no query arrives.
-        watch.confirmed = false;
-        watch.next_poll_at = self.now + watch.backoff.mul_f64(0.5 + self.random.next());
-        let max_backoff =
-            self.settings.rules.max_list_staleness.min(LIST_STALENESS_LIMIT).mul_f64(MAX_POLL_BACKOFF_SHARE);
-        watch.backoff = watch.backoff.mul_f64(POLL_BACKOFF_GROWTH).min(max_backoff);
-        self.log("endpoint list watch lost, polling again".to_owned());
-    }
-
-    /// Requests the endpoint list with a watch if the list has to be polled and no watch is running.
-    ///
-    /// The request is repeated when the watch fails or the request is not answered in time. Without a watch
-    /// the front node would miss changes that it is expected to know.
-    pub(super) fn request_endpoint_list(&mut self) {
-        if !self.settings.poll_endpoint_list || self.now < self.endpoint_watch.next_poll_at {
-            return;
-        }
-        let timeout = self.settings.rules.max_list_staleness.mul_f64(POLL_TIMEOUT_SHARE);
-        let watch = &mut self.endpoint_watch;
-        let unanswered = |requested_at| !watch.confirmed && self.now - requested_at > timeout;
-        if watch.requested_at.is_none_or(unanswered) {
-            watch.requested_at = Some(self.now);
-            watch.confirmed = false;
-            self.actions.push(Action::WatchEndpointList);
-        }
-    }
-
-    /// Records that the watch is running and resets the backoff.
-    fn confirm_watch(&mut self) {
-        if self.endpoint_watch.backoff > INITIAL_POLL_BACKOFF {
-            self.log("endpoint list watch regained".to_owned());
-        }
-        self.endpoint_watch.confirmed = true;
-        self.endpoint_watch.backoff = INITIAL_POLL_BACKOFF;
-    }
-
     /// Applies the entries of a list or a watch event.
     fn apply_entries(&mut self, entries: &[ListedReplica]) {
         for entry in entries {
--- a/src/front_node/events.rs
+++ b/src/front_node/events.rs
@@ -22,7 +22,9 @@
         match *event {
             Event::EndpointList { ref replicas, cached } => self.on_endpoint_list(replicas, cached),
             Event::EndpointListChanged(ref entries) => self.on_endpoint_list_changed(entries),
-            Event::WatchFailed => self.on_watch_failed(),
+            Event::WatchFailed(failure) => self.on_watch_failed(failure),
+            Event::DiscoveryChanging => self.on_discovery_changing(),
+            Event::DiscoveryChanged => self.on_discovery_changed(),
             Event::Query { id, number, class, tenant, expires_in, work_hint, retry } => {
                 self.on_query(ArrivedQuery { id, number, class, tenant, expires_in, work_hint, retry });
             }
--- a/src/front_node/lifecycle.rs
+++ b/src/front_node/lifecycle.rs
@@ -10,7 +10,7 @@
     /// Advances a query as far as is possible now. Returns false if it has got its final answer.
     pub(super) fn advance(&mut self, query: &mut Query) -> bool {
         if !query.admitted {
-            if self.must_wait_for_stall(query) {
+            if self.must_wait(query) {
                 return true;
             }
             if !self.admit(query) {
@@ -32,7 +32,7 @@
             return self.give_up(query);
         }
         self.cancel_in_flight(query, true);
-        if !self.must_wait_for_stall(query) {
+        if !self.must_wait(query) {
             self.dispatch_contained(query, &containment);
         }
         true
@@ -103,6 +103,12 @@
         end - self.settings.tick.mul_f64(GIVE_UP_MARGIN_TICKS)
     }
 
+    /// Returns whether nothing may be sent for the query now, although it is not given up yet.
+    fn must_wait(&mut self, query: &Query) -> bool {
+        let holds = self.holds_sends() && self.now < self.give_up_at(query);
+        holds || self.must_wait_for_stall(query)
+    }
+
     /// Returns whether the query has to wait because of a stall. If so, sets a timer for the end of the wait.
     ///
     /// During a stall of all replicas and shortly after it, a query that is not admitted yet waits, for a
--- a/src/front_node/mod.rs
+++ b/src/front_node/mod.rs
@@ -4,7 +4,9 @@
 //! decisions of one subsystem:
 //!
 //! - `events`: applies events to the state;
-//! - `endpoint_list`: the replicas, and the watch on the list of them;
+//! - `endpoint_list`: the replicas, according to the endpoint list;
+//! - `list_currency`: how current the endpoint list is, and what may be sent on it;
+//! - `list_watch`: requests for a watch on the endpoint list;
 //! - `attempts`, `latency`: what the end of an attempt says about its replica, and latency estimates;
 //! - `stalls`: intervals in which all replicas or this machine are paused;
 //! - `outliers`: replicas that are much slower than the others;
@@ -15,7 +17,7 @@
 //! - `query_of_death`: containment of queries that crash replicas;
 //! - `tuning`: the constants of all submodules.
 
-use crate::interface::{Action, Event, Id, Micros, ReplicaId, Settings};
+use crate::interface::{Action, Event, Id, ListDelivery, Micros, ReplicaId, Settings};
 use crate::numeric::{DecayingCounter, SlidingWindow, SplitMix64};
 use crate::state::{
     AttemptId, ClassStep, ClientTries, EndpointWatch, GlobalStall, InFlightAttempt, LatencyStats, Query,
@@ -34,6 +36,8 @@
 mod events;
 mod latency;
 mod lifecycle;
+mod list_currency;
+mod list_watch;
 mod outliers;
 mod overdue;
 mod query_of_death;
@@ -156,6 +160,7 @@
         }
         self.update_replica_health();
         self.request_endpoint_list();
+        self.update_send_hold();
         self.update_in_flight_limit();
         self.advance_queries();
         self.set_idle_timer();
@@ -170,8 +175,8 @@
         self.replicas.len()
     }
 
-    /// Schedules the first request of the endpoint list at a random time. Front nodes often restart together;
-    /// spreading their requests protects the discovery service.
+    /// Schedules the first request of the endpoint list. A polled list is requested at a random time: front
+    /// nodes often restart together, and spreading their requests protects the discovery service.
     fn schedule_first_poll(&mut self) {
         self.endpoint_watch.backoff = INITIAL_POLL_BACKOFF;
         // The settings may leave the maximum staleness at zero; poll intervals need a bound anyway.
@@ -179,7 +184,9 @@
         self.settings.rules.max_list_staleness = self.settings.rules.max_list_staleness.max(min_staleness);
         let spread = INITIAL_POLL_BACKOFF.mul_f64(FIRST_POLL_SPREAD * f64::from(self.settings.fleet_size));
         let max_spread = self.settings.rules.max_list_staleness.mul_f64(MAX_FIRST_POLL_SHARE);
-        self.endpoint_watch.next_poll_at = self.now + spread.min(max_spread).mul_f64(self.random.next());
+        let delay = spread.min(max_spread).mul_f64(self.random.next());
+        let waits = self.settings.list_delivery == ListDelivery::Polled;
+        self.endpoint_watch.next_poll_at = self.now + if waits { delay } else { Micros(0) };
     }
 
     /// Advances every open query, in ascending order of sequence numbers, and drops those that have ended.
@@ -195,7 +202,8 @@
 
     /// Sets the idle timer if there are open queries or the endpoint list still has to be polled.
     fn set_idle_timer(&mut self) {
-        let list_missing = self.settings.poll_endpoint_list && !self.endpoint_watch.confirmed;
+        let is_requested = self.settings.list_delivery != ListDelivery::Pushed;
+        let list_missing = is_requested && !self.endpoint_watch.confirmed;
         if (list_missing || !self.queries.is_empty()) && self.idle_timer_at.is_none() {
             self.idle_timer_at = Some(self.now + IDLE_TIMER_INTERVAL);
             self.actions.push(Action::SetTimer(IDLE_TIMER_INTERVAL));
--- a/src/front_node/tuning.rs
+++ b/src/front_node/tuning.rs
@@ -37,6 +37,26 @@
 pub(super) const FIRST_POLL_SPREAD: f64 = 0.25;
 /// Upper bound of the interval set by `FIRST_POLL_SPREAD`, as a share of `Rules::max_list_staleness`.
 pub(super) const MAX_FIRST_POLL_SHARE: f64 = 0.25;
+/// Time over which a fleet whose watches end together spreads its requests for new ones, for each front node.
+/// At most the maximum backoff.
+pub(super) const WATCH_REOPEN_SPREAD: Micros = Micros(4_000);
+/// Maximum random change of the backoff between two requests for a watch, as a share of the backoff.
+pub(super) const WATCH_BACKOFF_JITTER: f64 = 0.25;
+
+/// Time by which the last attempt is decided on before its grace ends: a front node may be held up for 150 ms
+/// between reading the clock and writing, and time limits are extended by 50 ms.
+pub(super) const SEND_DELAY_MARGIN: Micros = Micros(100_000);
+/// Time after a change of the configured discovery service from which the new service's list counts as
+/// notified, according to the protocol documentation.
+pub(super) const NEW_DISCOVERY_DELAY: Micros = Micros(4_000_000);
+/// Time within which a request for a watch fails if discovery is down. A request that fails later was waiting
+/// for an overloaded discovery service.
+pub(super) const REFUSAL_TIME: Micros = Micros(250_000);
+/// Maximum time for which sends are held until discovery delivers its list. An overloaded discovery service
+/// answers a request within 2 s or fails it.
+pub(super) const MAX_LIST_WAIT: Micros = Micros(2_500_000);
+/// Maximum time for which a front node that starts waits until discovery delivers its list.
+pub(super) const MAX_FIRST_LIST_WAIT: Micros = Micros(5_000_000);
 
 /// Number of latency samples kept for each class and step, and of recent queries whose priority is kept.
 pub(super) const MAX_SAMPLES: usize = 64;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -122,10 +122,30 @@
     pub overload_window: Micros,
     /// If the endpoint list is polled: age of a change after which the front node is expected to know it.
     pub max_list_staleness: Micros,
+    /// Time after the notification that a replica drains or was removed in which new attempts may still be
+    /// sent to it.
+    pub drain_grace: Micros,
     /// The retry budget; `None` if the service sets none.
     pub retry_budget: Option<RetryBudget>,
 }
 
+/// How changes of the endpoint list reach the front node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ListDelivery {
+    /// The front node requests the list and a watch on it with [`Action::WatchEndpointList`]. It is expected
+    /// to know a change once the change is older than [`Rules::max_list_staleness`].
+    Polled,
+    /// The host delivers each change without a request. It never loses one.
+    #[default]
+    Pushed,
+    /// The front node requests a watch with [`Action::WatchEndpointList`], as for [`ListDelivery::Polled`],
+    /// but it is expected to know each change as soon as discovery does, whether or not a watch is open.
+    Watched {
+        /// Longest mean wait between two requests for a watch that fails repeatedly.
+        max_backoff: Micros,
+    },
+}
+
 /// What the deployment allows a front node to do, and how much of it.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
@@ -161,9 +181,8 @@
     pub wasted_work_cost: f64,
     /// Whether clients mark a query that is a retry ([`Event::Query::retry`](Event::Query)).
     pub clients_mark_retries: bool,
-    /// Whether the endpoint list has to be requested with [`Action::WatchEndpointList`]. If not, it is pushed
-    /// to the front node unrequested.
-    pub poll_endpoint_list: bool,
+    /// How changes of the endpoint list are delivered.
+    pub list_delivery: ListDelivery,
     /// Number of cells. A cell is a group of replicas that hold the same shards.
     pub cell_count: u32,
     /// Number of cells that hold each shard: shard `s` is held by the cells `s`, `s + 1`, ... modulo
@@ -225,6 +244,23 @@
     NotSent,
 }
 
+/// How a watch on the endpoint list, or a request for one, failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchFailure {
+    /// The established watch ended: discovery closed it, or its connection was reset.
+    Ended,
+    /// The established watch has delivered neither a change nor a keep-alive for this long.
+    Silent(Micros),
+    /// Discovery refused the request, or answered it with an error.
+    Refused,
+    /// No connection to discovery could be established for the request: its machine is down or cut off.
+    Unreachable,
+    /// The request was not answered in time, or could not be sent from this machine.
+    Unanswered,
+    /// The host does not know which: the established watch ended, or a request was refused.
+    Unknown,
+}
+
 /// An input of the decision core.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -238,7 +274,12 @@
     /// A watch event with the changed entries of the endpoint list.
     EndpointListChanged(Vec<ListedReplica>),
     /// Requesting the endpoint list failed, or the watch on it was lost.
-    WatchFailed,
+    WatchFailed(WatchFailure),
+    /// The configuration names another discovery service. The host has requested its list, and still delivers
+    /// the changes of the previous service's list.
+    DiscoveryChanging,
+    /// The list of the service announced by [`Event::DiscoveryChanging`] was delivered before this event.
+    DiscoveryChanged,
     /// A query has arrived. Its parts follow in the same batch.
     Query {
         /// Id of the query, by which actions refer to it.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,7 +5,7 @@
 mod query;
 mod replica;
 
-pub(crate) use endpoint_watch::EndpointWatch;
+pub(crate) use endpoint_watch::{EndpointWatch, ListCurrency};
 pub(crate) use latency::{ClassStep, GlobalStall, LatencySample, LatencyStats};
 pub(crate) use query::{Attempt, ClientTries, Part, Query};
 pub(crate) use replica::{AttemptId, BatchedCall, InFlightAttempt, Replica};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -38,7 +38,7 @@
         over_quota_weight_share: 0.05,
         wasted_work_cost: 0.0,
         clients_mark_retries: false,
-        poll_endpoint_list: false,
+        list_delivery: ListDelivery::Pushed,
         cell_count: 4,
         cells_per_shard: 2,
         tick: ms(5),
@@ -57,6 +57,7 @@
             overload_multiple: 2.0,
             overload_window: ms(1000),
             max_list_staleness: ms(10_000),
+            drain_grace: ms(1000),
             retry_budget: None,
         },
     }
@@ -73,7 +74,7 @@
     settings.classes[3].late_weight_share = 0.0;
     settings.classes[4].second_step_parts = 2;
     settings.rules.retry_budget = Some(RetryBudget { window: ms(2000), min_retries: 5.0, retry_ratio: 0.1 });
-    settings.poll_endpoint_list = true;
+    settings.list_delivery = ListDelivery::Polled;
     settings
 }
 
--- a/tests/endpoint_list.rs
+++ b/tests/endpoint_list.rs
@@ -66,13 +66,13 @@
 #[test]
 fn a_failed_watch_is_requested_again_with_growing_backoff() {
     let mut settings = base_settings();
-    settings.poll_endpoint_list = true;
+    settings.list_delivery = ListDelivery::Polled;
     let mut harness = Harness::new(settings, 0);
     let mut requests = Vec::new();
     for _ in 0..1000 {
         if harness.wait(ms(10)).contains(&Action::WatchEndpointList) {
             requests.push(harness.now);
-            harness.deliver(vec![Event::WatchFailed]);
+            harness.deliver(vec![Event::WatchFailed(WatchFailure::Unknown)]);
         }
     }
     assert!(requests.len() >= 4, "{requests:?}");
@@ -87,12 +87,12 @@
 #[test]
 fn a_watch_that_fails_without_open_queries_is_requested_again_by_a_timer() {
     let mut settings = base_settings();
-    settings.poll_endpoint_list = true;
+    settings.list_delivery = ListDelivery::Polled;
     let mut harness = Harness::new(settings, 0);
     while !harness.wait(ms(10)).contains(&Action::WatchEndpointList) {}
     harness.deliver(vec![complete_list(4)]);
     harness.wait(ms(1000));
-    let mut actions = harness.deliver(vec![Event::WatchFailed]);
+    let mut actions = harness.deliver(vec![Event::WatchFailed(WatchFailure::Unknown)]);
     // From here on, the only events are the timers that the decision core sets.
     for _ in 0..100 {
         let waits: Vec<Micros> = actions
@@ -111,7 +111,7 @@
 #[test]
 fn an_unanswered_watch_request_is_repeated() {
     let mut settings = base_settings();
-    settings.poll_endpoint_list = true;
+    settings.list_delivery = ListDelivery::Polled;
     let mut harness = Harness::new(settings, 0);
     let requests = (0..1000).filter(|_| harness.wait(ms(10)).contains(&Action::WatchEndpointList)).count();
     assert!((2..=3).contains(&requests), "{requests}");
@@ -120,7 +120,7 @@
 #[test]
 fn front_nodes_that_restart_together_spread_their_first_polls() {
     let mut settings = base_settings();
-    settings.poll_endpoint_list = true;
+    settings.list_delivery = ListDelivery::Polled;
     settings.fleet_size = 100;
     let first_request = |seed| {
         let mut harness = Harness::new(settings.clone(), 0);
@@ -136,14 +136,14 @@
 #[test]
 fn polls_are_limited_if_the_settings_have_no_maximum_staleness() {
     let mut settings = base_settings();
-    settings.poll_endpoint_list = true;
+    settings.list_delivery = ListDelivery::Polled;
     settings.rules.max_list_staleness = Micros(0);
     let mut harness = Harness::new(settings, 0);
     let mut requests = 0;
     for _ in 0..1000 {
         if harness.wait(ms(10)).contains(&Action::WatchEndpointList) {
             requests += 1;
-            harness.deliver(vec![Event::WatchFailed]);
+            harness.deliver(vec![Event::WatchFailed(WatchFailure::Unknown)]);
         }
     }
     assert!((5..=40).contains(&requests), "{requests} requests in ten seconds");
--- a/tests/replay/driver.rs
+++ b/tests/replay/driver.rs
@@ -95,7 +95,7 @@
             0..QUERY_PERCENT => self.begin_query(),
             35..=69 => self.end_attempts(),
             70..=77 => vec![self.change_replica()],
-            78..=80 => vec![Event::WatchFailed],
+            78..=80 => vec![Event::WatchFailed(WatchFailure::Unknown)],
             81..=82 => vec![self.complete_list()],
             83..=85 if !self.queries.is_empty() => vec![self.disconnect_client()],
             86 => vec![Event::HealthChecked],
--- a/tests/rules/events.rs
+++ b/tests/rules/events.rs
@@ -83,7 +83,7 @@
         if batch > FIRST_LIST_BATCH && self.random.one_in(changes_one_in) {
             return Some(self.change_replica(records));
         }
-        self.random.one_in(200).then_some(Event::WatchFailed)
+        self.random.one_in(200).then_some(Event::WatchFailed(WatchFailure::Unknown))
     }
 
     fn change_replica(&mut self, records: &mut Records) -> Event {
