Replicas are probed once all of them have failed and nothing is in flight

The log of a failing run shows rejections within 0.5 ms and no call to any index server for 5 s; "query of death" names only the queries that were sent before.

Change: if no replica has free capacity and nothing is in flight, a query is admitted to replicas whose last failure is 1.5 s ago. It probes them; the next is rejected until it has ended.

--- a/src/front_node/admission.rs
+++ b/src/front_node/admission.rs
@@ -2,10 +2,11 @@
 //! that a query earns per unit of work.
 
 use super::tuning::{
-    CONCURRENCY_HALF_LIFE, COUNTER_HALF_LIFE, EPSILON, FAILURE_WEIGHT, FLEET_BASE_CAPACITY,
-    MAX_BASE_CAPACITY, MAX_SAMPLES, MIN_BASE_CAPACITY, MIN_IN_FLIGHT_PER_REPLICA, MIN_QUERY_TIME_MULTIPLE,
-    MIN_QUERY_TIME_SHARE, OCCUPANCY_STRAIN_CAP, OUTLIER_RATIO, OVER_QUOTA_RATIO, PRIORITY_RESERVED_SHARE,
-    RECOVERED_FAILURE_WEIGHT, SHED_START_STRAIN, SHED_STOP_STRAIN, TARGET_LATENCY_SHARE,
+    CONCURRENCY_HALF_LIFE, COUNTER_HALF_LIFE, EPSILON, FAILURE_PENALTY_TIME, FAILURE_WEIGHT,
+    FLEET_BASE_CAPACITY, MAX_BASE_CAPACITY, MAX_SAMPLES, MIN_BASE_CAPACITY, MIN_IN_FLIGHT_PER_REPLICA,
+    MIN_QUERY_TIME_MULTIPLE, MIN_QUERY_TIME_SHARE, OCCUPANCY_STRAIN_CAP, OUTLIER_RATIO, OVER_QUOTA_RATIO,
+    PRIORITY_RESERVED_SHARE, RECOVERED_FAILURE_WEIGHT, SHED_START_STRAIN, SHED_STOP_STRAIN,
+    TARGET_LATENCY_SHARE,
 };
 use super::FrontNode;
 use crate::interface::Micros;
@@ -120,8 +121,15 @@
     ///
     /// A query that can't be answered even partially would only delay others. If no replica at all is in
     /// service, the result is true, so that the query waits for an endpoint list.
+    ///
+    /// If no replica has free capacity and nothing is in flight, all of them have failed, and no answer can
+    /// show that they have recovered. A query then probes those whose last failure is some time ago.
     fn enough_shards_have_capacity(&self, query: &Query) -> bool {
-        let free = |replica: &Replica| replica.in_service() && self.has_free_capacity(replica);
+        let probes = self.in_flight.is_empty() && !self.replicas.values().any(|r| self.takes_queries(r));
+        let failed_long_ago = |replica: &Replica| self.now - replica.last_failed_at >= FAILURE_PENALTY_TIME;
+        let free = |replica: &Replica| {
+            self.takes_queries(replica) || probes && replica.in_service() && failed_long_ago(replica)
+        };
         let reachable =
             query.parts.iter().filter(|part| self.replicas_of_shard(part.shard).any(|(_, r)| free(r)));
         let weight: f64 = reachable.map(|part| part.weight).sum();
@@ -129,6 +137,10 @@
         weight > min_share - EPSILON || !self.replicas.values().any(|replica| replica.in_service())
     }
 
+    fn takes_queries(&self, replica: &Replica) -> bool {
+        replica.in_service() && self.has_free_capacity(replica)
+    }
+
     /// Returns whether a replica has less in flight than it can answer within the target latency.
     ///
     /// Recent failures count as parts in flight, with a higher weight as long as no answer has followed them.
--- a/src/front_node/attempts.rs
+++ b/src/front_node/attempts.rs
@@ -77,6 +77,7 @@
         let recent = replica.failure_penalty_ends.len().min(MAX_FAILURE_PENALTY_STEPS) as f64;
         let penalty_end = self.now + penalty_time.mul_f64(1.0 + FAILURE_PENALTY_GROWTH * recent);
         replica.failure_penalty_ends.push(penalty_end);
+        replica.last_failed_at = self.now;
         replica.consecutive_failures += 1;
         if raises_ratio {
             replica.latency_ratio = previous_ratio.max(ratio);
--- a/src/state/replica.rs
+++ b/src/state/replica.rs
@@ -58,6 +58,8 @@
     /// For each recent failed attempt, the time until which it counts as an attempt in flight. This keeps a
     /// replica that fails fast from looking idle.
     pub(crate) failure_penalty_ends: Vec<Micros>,
+    /// When an attempt at the replica last failed; the origin of time if none has.
+    pub(crate) last_failed_at: Micros,
     /// Number of attempts that failed since the replica last answered one.
     pub(crate) consecutive_failures: usize,
     /// Moving average of the replica's latency divided by the typical latency of the same class and step.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -214,3 +214,59 @@
     }
     assert!(rejected > 50, "{rejected} of 100 rejected immediately");
 }
+
+/// Has all replicas fail the attempts of some queries that were sent at once. Queries are rejected then, and
+/// nothing is in flight.
+fn harness_after_failures_of_all_replicas() -> Harness {
+    let mut harness = Harness::new(base_settings(), 8);
+    harness.learn_latencies(20);
+    for _ in 0..20 {
+        harness.query(0, &[0, 1, 2, 3]);
+    }
+    while !harness.in_flight.is_empty() {
+        harness.now = harness.now + ms(20);
+        harness.end_attempts(Outcome::Error, |_| true);
+    }
+    let (id, actions) = harness.query(0, &[0, 1]);
+    assert!(matches!(final_answers(&actions)[..], [Action::Reject { query, .. }] if query == id));
+    harness
+}
+
+#[test]
+fn queries_are_served_again_soon_after_all_replicas_failed_and_recovered() {
+    let mut harness = harness_after_failures_of_all_replicas();
+    // Clients ask all the time, and are rejected at once.
+    let failed_at = harness.now;
+    let (query, actions) = loop {
+        harness.wait(ms(50));
+        let (id, actions) = harness.query(0, &[0, 1]);
+        if !sent_attempts(&actions).is_empty() {
+            break (id, actions);
+        }
+        assert_eq!(final_answers(&actions).len(), 1, "what is rejected is rejected at once");
+    };
+    assert!(harness.now - failed_at <= ms(1600), "{:?}", harness.now - failed_at);
+    assert_eq!(sent_attempts(&actions).len(), 2);
+    harness.now = harness.now + ms(100);
+    let actions = harness.end_attempts(Outcome::Ok, |_| true);
+    assert_eq!(final_answers(&actions), [Action::Answer { query, complete: true }]);
+    // Replicas that have answered take further queries.
+    assert_eq!(sent_attempts(&harness.query(0, &[0, 1]).1).len(), 2);
+}
+
+#[test]
+fn replicas_that_go_on_failing_are_probed_by_single_queries() {
+    let mut harness = harness_after_failures_of_all_replicas();
+    let (mut sent, mut rejected) = (0, 0);
+    for _ in 0..200 {
+        harness.wait(ms(50));
+        let (_, actions) = harness.query(0, &[0]);
+        sent += sent_attempts(&actions).len();
+        rejected += final_answers(&actions).len();
+        harness.now = harness.now + ms(20);
+        sent += sent_attempts(&harness.end_attempts(Outcome::Rejected, |_| true)).len();
+    }
+    // Four replicas hold the shard. In 14 s each of them is probed ten times at most, by a query with two attempts.
+    assert!((5..=80).contains(&sent), "{sent} attempts");
+    assert!(rejected > 150, "{rejected} rejected at once");
+}
