A connect that hangs after this machine lacked sockets counts for this machine

If the last retry has not ended by then, which needs some load, the result was a connect timeout, which counts against the server, though this machine had used up most of the time. To discovery the same would have meant "unreachable".

Change: such a connect fails with the local error (no_local_socket). A server that is down is then noticed by the next connect.

--- a/crates/system-calls/src/retry.rs
+++ b/crates/system-calls/src/retry.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::io;
 use std::time::Duration;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// Backoff before the first retry after a transient local error. It doubles with each retry.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(2);
@@ -30,18 +30,20 @@
 ///
 /// # Errors
 /// The errors of `call`. A transient local error is returned only if the next retry would start after the
-/// deadline.
+/// deadline, or if a retry has not ended by then: this machine has used up time that the call needed.
 pub async fn retry_transient_errors<T, F: Future<Output = io::Result<T>>>(
     deadline: Instant,
     mut call: impl FnMut() -> F,
 ) -> io::Result<T> {
     let mut backoff = INITIAL_BACKOFF;
+    let mut result = call().await;
     loop {
-        match call().await {
-            Err(error) if is_transient_local_error(&error) && Instant::now() + backoff < deadline => {}
+        let local_error = match result {
+            Err(error) if is_transient_local_error(&error) && Instant::now() + backoff < deadline => error,
             result => return result,
-        }
+        };
         sleep(backoff).await;
         backoff = (backoff * 2).min(MAX_BACKOFF);
+        result = timeout_at(deadline, call()).await.unwrap_or(Err(local_error));
     }
 }
