--- a/src/front_node/list_currency.rs
+++ b/src/front_node/list_currency.rs
@@ -1,13 +1,12 @@
 //! How current the endpoint list is, and what may be sent on it.
 //!
 //! An index server that drains may get new attempts for [`Rules::drain_grace`](crate::interface::Rules)
-//! after the front node was notified. A change counts as notified even if the front node could not receive it,
-//! because its watch had ended, or because the list of another discovery service applies by now. What a watch
-//! that fell silent has missed counts [`LIST_STALENESS_LIMIT`] later. So a list that is not confirmed by an open
-//! watch may be used for a limited time only. After that sends are held:
-//! queries wait until discovery has delivered its list, or has turned out to be down. A wait without either
-//! ends after [`MAX_LIST_WAIT`], as a front node has to serve by the last known list if discovery does not
-//! respond.
+//! after the front node was notified. A change counts as notified even if the front node could not receive
+//! it, because its watch had ended, or because the list of another discovery service applies by now. What a
+//! watch that fell silent has missed counts [`LIST_STALENESS_LIMIT`] later. So a list that is not confirmed
+//! by an open watch may be used for a limited time only. After that sends are held: queries wait until
+//! discovery has delivered its list, or has turned out to be down. A wait without either ends after
+//! [`MAX_LIST_WAIT`], as a front node has to serve by the last known list if discovery does not respond.
 
 use super::tuning::{
     LIST_STALENESS_LIMIT, MAX_FIRST_LIST_WAIT, MAX_LIST_WAIT, NEW_DISCOVERY_DELAY, REFUSAL_TIME,
